--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the product against baselines, on this machine."""
--- /dev/null
+++ b/src/amaranthrail/__init__.py
@@ -0,0 +1,1 @@
+"""Balance load over expert-parallel model groups and plain services."""
--- /dev/null
+++ b/src/amaranthrail/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Connect the product's ports to protocols."""
--- /dev/null
+++ b/src/amaranthrail/adapters/httpclient.py
@@ -0,0 +1,267 @@
+"""Call HTTP/1.1 servers with h11; pool connections where that is safe."""
+
+from __future__ import annotations
+
+import ssl
+from collections import deque
+from collections.abc import AsyncGenerator, AsyncIterator
+from contextlib import aclosing, asynccontextmanager
+from dataclasses import dataclass
+
+import h11
+import trio
+
+from ..exceptions import HttpError
+from ..types import HeaderList
+
+CONNECT_TIMEOUT_S = 2.0
+_READ_BYTES = 65_536
+_MAX_IDLE = 64
+_ParserEvent = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
+_BROKEN = (
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
+    trio.TooSlowError,
+    h11.ProtocolError,
+    OSError,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """Name a TCP endpoint by IP number and port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return ``host:port``."""
+        return f'{self.host}:{self.port}'
+
+
+def parse_address(text: str) -> Address:
+    """Return the address in ``host:port`` or ``http://host:port``."""
+    bare = text.partition('://')[2] or text
+    host, _, port = bare.rstrip('/').rpartition(':')
+    return Address(host.strip('[]'), int(port))
+
+
+@dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """Hold one whole answer."""
+
+    status: int
+    headers: HeaderList
+    body: bytes
+
+    def header(self, name: str) -> str | None:
+        """Return the first field of a lower-case name."""
+        return next(
+            (text for known, text in self.headers if known == name),
+            None,
+        )
+
+
+class HttpExchange:
+    """Hold the answer to one request while its body arrives."""
+
+    def __init__(self, parser: h11.Connection, stream: trio.abc.Stream) -> None:
+        """Take a connection on which a request has been sent."""
+        self._parser = parser
+        self._stream = stream
+        self._status = 0
+        self._headers: HeaderList = ()
+
+    @property
+    def status(self) -> int:
+        """Return the answer's status."""
+        return self._status
+
+    @property
+    def headers(self) -> HeaderList:
+        """Return the answer's header fields."""
+        return self._headers
+
+    async def read_head(self) -> None:
+        """Wait for the answer's head."""
+        head = await self._next_event()
+        while isinstance(head, h11.InformationalResponse):
+            head = await self._next_event()
+        if not isinstance(head, h11.Response):
+            raise HttpError('no answer before the end', sent=True)
+        self._status = head.status_code
+        self._headers = tuple(
+            (name.decode('latin-1'), text.decode('latin-1'))
+            for name, text in head.headers
+        )
+
+    async def parts(self) -> AsyncGenerator[bytes, None]:
+        """Yield the body as it arrives; raises HttpError when it is cut."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+
+    async def _next_event(self) -> _ParserEvent:
+        while True:
+            try:
+                event = self._parser.next_event()
+                if event is not h11.NEED_DATA:
+                    return event
+                received = await self._stream.receive_some(_READ_BYTES)
+                self._parser.receive_data(bytes(received))
+            except _BROKEN as error:
+                raise HttpError(f'answer cut: {error}', sent=True) from error
+
+
+class HttpClient:
+    """Call one server, keeping idle connections for later calls."""
+
+    def __init__(
+        self,
+        address: Address,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        """Take the server's address and, for HTTPS, a TLS context."""
+        self._address = address
+        self._tls = tls
+        self._idle: deque[tuple[h11.Connection, trio.abc.Stream]] = deque()
+
+    @property
+    def address(self) -> Address:
+        """Return the address of the server."""
+        return self._address
+
+    @asynccontextmanager
+    async def exchange(
+        self,
+        method: str,
+        target: str,
+        headers: HeaderList = (),
+        body: bytes = b'',
+        *,
+        fresh: bool = False,
+    ) -> AsyncIterator[HttpExchange]:
+        """Send a request and give the answer, its head already read.
+
+        ``fresh`` takes a new connection, so that a failure to connect proves
+        that the server has not seen the request. Raises HttpError.
+        """
+        parser, stream = await self._connect(fresh=fresh)
+        try:
+            exchange = HttpExchange(parser, stream)
+            await self._send(parser, stream, method, target, headers, body)
+            await exchange.read_head()
+            yield exchange
+        finally:
+            await self._give_back(parser, stream)
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        headers: HeaderList = (),
+        body: bytes = b'',
+        *,
+        fresh: bool = False,
+    ) -> HttpAnswer:
+        """Return the whole answer to a request. Raises HttpError."""
+        async with self.exchange(
+            method,
+            target,
+            headers,
+            body,
+            fresh=fresh,
+        ) as exchange:
+            async with aclosing(exchange.parts()) as parts:
+                chunks = [part async for part in parts]
+            return HttpAnswer(
+                exchange.status,
+                exchange.headers,
+                b''.join(chunks),
+            )
+
+    async def _connect(
+        self,
+        *,
+        fresh: bool,
+    ) -> tuple[h11.Connection, trio.abc.Stream]:
+        if self._idle and not fresh:
+            return self._idle.pop()
+        try:
+            with trio.fail_after(CONNECT_TIMEOUT_S):
+                stream = await self._open()
+        except _BROKEN as error:
+            reason = f'{self._address} does not accept: {error}'
+            raise HttpError(reason, sent=False) from error
+        return h11.Connection(h11.CLIENT), stream
+
+    async def _open(self) -> trio.abc.Stream:
+        stream = await trio.open_tcp_stream(
+            self._address.host,
+            self._address.port,
+        )
+        if self._tls is None:
+            return stream
+        secure = trio.SSLStream(
+            stream,
+            self._tls,
+            server_hostname=self._address.host,
+            https_compatible=True,
+        )
+        await secure.do_handshake()
+        return secure
+
+    async def _send(
+        self,
+        parser: h11.Connection,
+        stream: trio.abc.Stream,
+        method: str,
+        target: str,
+        headers: HeaderList,
+        body: bytes,
+    ) -> None:
+        fields = [('host', str(self._address)), *headers]
+        if body or method not in {'GET', 'HEAD'}:
+            fields.append(('content-length', str(len(body))))
+        request = h11.Request(method=method, target=target, headers=fields)
+        payload = parser.send(request) or b''
+        if body:
+            payload += parser.send(h11.Data(data=body)) or b''
+        payload += parser.send(h11.EndOfMessage()) or b''
+        try:
+            await stream.send_all(payload)
+        except _BROKEN as error:
+            raise HttpError(f'request cut: {error}', sent=True) from error
+
+    async def _give_back(
+        self,
+        parser: h11.Connection,
+        stream: trio.abc.Stream,
+    ) -> None:
+        ended = parser.our_state is h11.DONE and parser.their_state is h11.DONE
+        if ended and len(self._idle) < _MAX_IDLE:
+            parser.start_next_cycle()
+            self._idle.append((parser, stream))
+            return
+        await trio.aclose_forcefully(stream)
+
+
+async def call_once(
+    address: Address,
+    method: str,
+    target: str,
+    headers: HeaderList = (),
+    body: bytes = b'',
+) -> HttpAnswer:
+    """Return the answer to one request on a connection of its own."""
+    closing = ('connection', 'close')
+    return await HttpClient(address).call(
+        method,
+        target,
+        (*headers, closing),
+        body,
+        fresh=True,
+    )
--- /dev/null
+++ b/src/amaranthrail/adapters/httpserver.py
@@ -0,0 +1,329 @@
+"""Serve HTTP/1.1 with h11, one task for each connection."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from urllib.parse import parse_qsl
+
+import h11
+import trio
+
+from ..clock import move_on_after
+from ..exceptions import InvariantError
+from ..logs import part_logger
+from ..types import HeaderList
+
+MAX_HEADER_BYTES = 16_384
+READ_BYTES = 65_536
+BODY_TIMEOUT_MS = 20_000
+IDLE_TIMEOUT_MS = 75_000
+WRITE_TIMEOUT_MS = 30_000
+_MAX_PIPELINED_BYTES = 65_536
+_HTTP_TIMEOUT = 408
+_HTTP_TOO_LARGE = 413
+_log = part_logger('http')
+
+_BROKEN = (
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
+    trio.TooSlowError,
+    h11.ProtocolError,
+)
+_ParserEvent = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """Hold one whole request."""
+
+    method: str
+    target: str
+    headers: HeaderList
+    body: bytes
+
+    @property
+    def path(self) -> str:
+        """Return the target without its query."""
+        return self.target.partition('?')[0]
+
+    @property
+    def query(self) -> dict[str, str]:
+        """Return the query's fields, the last of each name."""
+        return dict(parse_qsl(self.target.partition('?')[2]))
+
+    def header(self, name: str) -> str | None:
+        """Return the first field of a lower-case name."""
+        return next(
+            (text for known, text in self.headers if known == name),
+            None,
+        )
+
+
+class Reply:
+    """Write one answer; an answer never finished closes the connection."""
+
+    def __init__(self, connection: _Connection) -> None:
+        """Take the connection that the request came on."""
+        self._connection = connection
+        self._started = False
+        self._finished = False
+
+    @property
+    def started(self) -> bool:
+        """Tell whether the head has been sent."""
+        return self._started
+
+    @property
+    def finished(self) -> bool:
+        """Tell whether the whole answer has been sent."""
+        return self._finished
+
+    async def whole(
+        self,
+        status: int,
+        headers: HeaderList,
+        body: bytes,
+    ) -> None:
+        """Send a complete answer with its content length."""
+        length = ('content-length', str(len(body)))
+        events: list[h11.Event] = [self._head(status, (*headers, length))]
+        if body:
+            events.append(h11.Data(data=body))
+        events.append(h11.EndOfMessage())
+        self._finished = True
+        await self._connection.send(*events)
+
+    async def start(self, status: int, headers: HeaderList) -> None:
+        """Send the head of a chunked answer."""
+        await self._connection.send(self._head(status, headers))
+
+    async def part(self, payload: bytes) -> None:
+        """Send one chunk of the body."""
+        await self._connection.send(h11.Data(data=payload))
+
+    async def finish(self) -> None:
+        """Send the last chunk, which alone makes the answer whole."""
+        self._finished = True
+        await self._connection.send(h11.EndOfMessage())
+
+    def _head(self, status: int, headers: HeaderList) -> h11.Response:
+        self._started = True
+        closing: HeaderList = ()
+        if self._connection.closing:
+            closing = (('connection', 'close'),)
+        return h11.Response(
+            status_code=status,
+            headers=[*headers, *closing],
+        )
+
+
+Handler = Callable[[HttpRequest, Reply], Awaitable[None]]
+
+
+class ServerState:
+    """Share between connections whether the server is shutting down."""
+
+    def __init__(self, max_body_bytes: Callable[[], int]) -> None:
+        """Take the current bound of a request's body in bytes."""
+        self._max_body_bytes = max_body_bytes
+        self._closing = trio.Event()
+        self._active = 0
+        self._idle: set[trio.CancelScope] = set()
+
+    @property
+    def max_body_bytes(self) -> int:
+        """Return the bound of a request's body in bytes."""
+        return self._max_body_bytes()
+
+    @property
+    def closing(self) -> bool:
+        """Tell whether connections close after the answer in progress."""
+        return self._closing.is_set()
+
+    @property
+    def active(self) -> int:
+        """Return how many requests are in progress."""
+        return self._active
+
+    def count(self, change: int) -> None:
+        """Count a request in or out."""
+        self._active += change
+
+    def close(self) -> None:
+        """Let every connection end after its answer in progress."""
+        self._closing.set()
+        for scope in self._idle:
+            scope.cancel()
+
+    @contextmanager
+    def idle(self) -> Iterator[trio.CancelScope]:
+        """Give a scope that ends when the server closes, or in time."""
+        with move_on_after(IDLE_TIMEOUT_MS) as scope:
+            self._idle.add(scope)
+            if self.closing:
+                scope.cancel()
+            try:
+                yield scope
+            finally:
+                self._idle.discard(scope)
+
+    async def wait_closing(self) -> None:
+        """Return once the server is shutting down."""
+        await self._closing.wait()
+
+
+class _Connection:
+    def __init__(self, stream: trio.abc.Stream, state: ServerState) -> None:
+        self._stream = stream
+        self._state = state
+        self._parser = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=MAX_HEADER_BYTES,
+        )
+        self._pipelined = 0
+
+    @property
+    def closing(self) -> bool:
+        return self._state.closing
+
+    async def send(self, *events: h11.Event) -> None:
+        payload = b''.join(self._parser.send(event) or b'' for event in events)
+        with trio.fail_after(WRITE_TIMEOUT_MS / 1000):
+            await self._stream.send_all(payload)
+
+    async def next_event(self) -> _ParserEvent:
+        while True:
+            event = self._parser.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            await self._receive()
+
+    async def read_request(self) -> HttpRequest | int | None:
+        """Return a request, the status that refuses it, or None at the end."""
+        head: _ParserEvent | None = None
+        with self._state.idle():
+            head = await self.next_event()
+        if not isinstance(head, h11.Request):
+            return None
+        with move_on_after(BODY_TIMEOUT_MS):
+            return await self._read_body(head)
+        return _HTTP_TIMEOUT
+
+    async def watch(self, scope: trio.CancelScope) -> None:
+        """Cancel the scope once the caller has closed its side."""
+        while self._pipelined < _MAX_PIPELINED_BYTES:
+            try:
+                received = await self._stream.receive_some(READ_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                received = b''
+            self._parser.receive_data(bytes(received))
+            self._pipelined += len(received)
+            if not received:
+                scope.cancel()
+                return
+
+    def start_next(self) -> bool:
+        """Make ready for another request, if the connection may go on."""
+        done = self._parser.our_state is h11.DONE
+        if not done or self._parser.their_state is not h11.DONE:
+            return False
+        self._parser.start_next_cycle()
+        self._pipelined = 0
+        return True
+
+    async def _receive(self) -> bytes:
+        if self._parser.they_are_waiting_for_100_continue:
+            go_ahead = h11.InformationalResponse(status_code=100, headers=[])
+            await self.send(go_ahead)
+        received = bytes(await self._stream.receive_some(READ_BYTES))
+        self._parser.receive_data(received)
+        return received
+
+    async def _read_body(self, head: h11.Request) -> HttpRequest | int:
+        body = bytearray()
+        while True:
+            event = await self.next_event()
+            if isinstance(event, h11.EndOfMessage):
+                break
+            if isinstance(event, h11.Data):
+                body += event.data
+            if len(body) > self._state.max_body_bytes:
+                return _HTTP_TOO_LARGE
+        return HttpRequest(
+            head.method.decode('ascii'),
+            head.target.decode('latin-1'),
+            tuple(
+                (name.decode('latin-1'), text.decode('latin-1'))
+                for name, text in head.headers
+            ),
+            bytes(body),
+        )
+
+
+async def serve_connection(
+    stream: trio.abc.Stream,
+    handler: Handler,
+    state: ServerState,
+) -> None:
+    """Answer the requests of one connection, in order, until it ends."""
+    connection = _Connection(stream, state)
+    async with stream:
+        try:
+            await _serve(connection, handler, state)
+        except* _BROKEN as group:
+            _log.debug('connection broke', cause=str(group.exceptions[0]))
+        except* InvariantError:
+            raise
+        except* Exception as group:
+            # One connection's failure must not disturb the others.
+            _log.error('handler failed', exc_info=group)
+
+
+async def _serve(
+    connection: _Connection,
+    handler: Handler,
+    state: ServerState,
+) -> None:
+    while True:
+        try:
+            request = await connection.read_request()
+        except h11.RemoteProtocolError as error:
+            await _refuse(connection, error.error_status_hint)
+            return
+        if isinstance(request, int):
+            await _refuse(connection, request)
+            return
+        if request is None:
+            return
+        state.count(1)
+        try:
+            finished = await _answer(connection, handler, request)
+        finally:
+            state.count(-1)
+        if not finished or not connection.start_next():
+            return
+
+
+async def _answer(
+    connection: _Connection,
+    handler: Handler,
+    request: HttpRequest,
+) -> bool:
+    reply = Reply(connection)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(connection.watch, nursery.cancel_scope)
+        await handler(request, reply)
+        nursery.cancel_scope.cancel()
+    return reply.finished
+
+
+async def _refuse(connection: _Connection, status: int) -> None:
+    body = b'{"title":"request refused","status":%d,"outcome":"not-run"}'
+    headers = (
+        ('content-type', 'application/problem+json'),
+        ('x-outcome', 'not-run'),
+        ('connection', 'close'),
+    )
+    await Reply(connection).whole(status, headers, body % status)
--- /dev/null
+++ b/src/amaranthrail/adapters/problem.py
@@ -0,0 +1,58 @@
+"""Write refusals as RFC 9457 problem details."""
+
+from __future__ import annotations
+
+import math
+
+import msgspec
+
+from ..clock import MS_PER_SECOND
+from ..outcomes import Refusal
+from ..types import HeaderList
+from .httpserver import Reply
+
+JSON_TYPE = ('content-type', 'application/json')
+
+
+class _Problem(msgspec.Struct):
+    type: str
+    title: str
+    status: int
+    detail: str
+    outcome: str
+    reason: str
+    retry_after_ms: int | None
+
+
+async def send_refusal(
+    reply: Reply,
+    refusal: Refusal,
+    headers: HeaderList = (),
+) -> None:
+    """Send a refusal with its outcome, its reason and when to try again."""
+    problem = _Problem(
+        f'urn:amaranthrail:{refusal.reason.value}',
+        refusal.reason.value.replace('-', ' '),
+        refusal.status,
+        refusal.detail,
+        refusal.outcome.value,
+        refusal.reason.value,
+        refusal.retry_after_ms,
+    )
+    fields = [
+        ('content-type', 'application/problem+json'),
+        ('x-outcome', refusal.outcome.value),
+    ]
+    if refusal.retry_after_ms is not None:
+        seconds = math.ceil(refusal.retry_after_ms / MS_PER_SECOND)
+        fields.append(('retry-after', str(seconds)))
+    await reply.whole(
+        refusal.status,
+        (*fields, *headers),
+        msgspec.json.encode(problem),
+    )
+
+
+async def send_json(reply: Reply, status: int, content: object) -> None:
+    """Send any JSON-able content."""
+    await reply.whole(status, (JSON_TYPE,), msgspec.json.encode(content))
--- /dev/null
+++ b/src/amaranthrail/cli.py
@@ -0,0 +1,361 @@
+"""Parse the ``amaranthrail`` command line and show what the API returns."""
+
+from __future__ import annotations
+
+import difflib
+import json
+import sys
+from collections.abc import Awaitable, Callable, Sequence
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Annotated, Any, TypeVar
+
+import msgspec
+import trio
+import typer
+from rich.console import Console
+from rich.table import Table
+
+from .api import AdminApi, ApiError, Published, PublishState, publish_to_log
+from .clock import MS_PER_SECOND, stamp_to_wall
+from .exceptions import ManifestError
+from .manifest import Manifest, parse_manifest
+
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+EXIT_REFUSED = 3
+EXIT_UNKNOWN = 4
+
+_Answer = TypeVar('_Answer')
+
+app = typer.Typer(
+    name='amaranthrail',
+    help='Operate a deployment.',
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+)
+manifest_app = typer.Typer(help='Check and publish manifests.')
+lost_app = typer.Typer(help='See and resolve what was lost.')
+app.add_typer(manifest_app, name='manifest', no_args_is_help=True)
+app.add_typer(lost_app, name='lost', no_args_is_help=True)
+
+Admin = Annotated[
+    str,
+    typer.Option(
+        envvar='AMARANTHRAIL_ADMIN',
+        help="Entries' administration addresses, separated by commas.",
+    ),
+]
+Token = Annotated[
+    str,
+    typer.Option(
+        envvar='AMARANTHRAIL_ADMIN_TOKEN',
+        help='Administration token.',
+        show_default=False,
+    ),
+]
+AsJson = Annotated[
+    bool,
+    typer.Option('--json', help='Write JSON for programs.'),
+]
+ManifestFile = Annotated[Path, typer.Argument(help='Manifest file, JSON.')]
+Base = Annotated[
+    int | None,
+    typer.Option(help='Version that the manifest was made from.'),
+]
+_DEFAULT_ADMIN = '127.0.0.1:7070'
+
+
+def _api(admin: str, token: str) -> AdminApi:
+    return AdminApi(tuple(admin.split(',')), token)
+
+
+def _run(call: Callable[[], Awaitable[_Answer]]) -> _Answer:
+    try:
+        return trio.run(call)
+    except* ApiError as group:
+        _fail(str(group.exceptions[0]), EXIT_FAILED)
+    raise AssertionError
+
+
+def _fail(message: str, code: int) -> None:
+    sys.stderr.write(f'amaranthrail: {message}\n')
+    raise typer.Exit(code)
+
+
+def _write(text: str) -> None:
+    sys.stdout.write(f'{text}\n')
+
+
+def _write_json(content: object) -> None:
+    _write(msgspec.json.encode(content).decode())
+
+
+def _write_table(columns: Sequence[str], rows: Sequence[Sequence[str]]) -> None:
+    table = Table(*columns, box=None, pad_edge=False)
+    for row in rows:
+        table.add_row(*row)
+    console = Console(file=sys.stdout, highlight=False)
+    if not console.is_terminal:
+        console = Console(file=sys.stdout, highlight=False, width=_PIPE_WIDTH)
+    console.print(table)
+
+
+_PIPE_WIDTH = 160
+
+
+def _read_manifest(path: Path) -> tuple[bytes, Manifest]:
+    try:
+        text = path.read_bytes()
+    except OSError as error:
+        _fail(f'{path}: {error.strerror}', EXIT_USAGE)
+    try:
+        return text, parse_manifest(text)
+    except ManifestError as error:
+        _fail(f'{path} cannot be accepted:\n{error}', EXIT_REFUSED)
+    raise AssertionError
+
+
+@manifest_app.command('check')
+def check_manifest(path: ManifestFile) -> None:
+    """Check a manifest; exit 3 with one line a fault."""
+    _, manifest = _read_manifest(path)
+    _write(
+        f'{path}: {len(manifest.services)} services, '
+        f'{len(manifest.organisations)} organisations, valid',
+    )
+
+
+@manifest_app.command('schema')
+def show_schema() -> None:
+    """Write the JSON Schema of manifests."""
+    _write(json.dumps(Manifest.model_json_schema(), indent=1))
+
+
+@manifest_app.command('show')
+def show_manifest(
+    admin: Admin = _DEFAULT_ADMIN,
+    admin_token: Token = '',
+    as_json: AsJson = False,
+) -> None:
+    """Write the manifest in force."""
+    found = _run(_api(admin, admin_token).manifest)
+    if as_json:
+        _write(found.text.decode())
+        return
+    _write(f'version {found.version}')
+    _write(_pretty(found.text))
+
+
+@manifest_app.command('diff')
+def diff_manifest(
+    path: ManifestFile,
+    admin: Admin = _DEFAULT_ADMIN,
+    admin_token: Token = '',
+) -> None:
+    """Compare a manifest with the one in force; exit 1 if they differ."""
+    text, _ = _read_manifest(path)
+    found = _run(_api(admin, admin_token).manifest)
+    lines = list(
+        difflib.unified_diff(
+            _pretty(found.text).splitlines(),
+            _pretty(text).splitlines(),
+            f'version {found.version}',
+            str(path),
+            lineterm='',
+        ),
+    )
+    for line in lines:
+        _write(line)
+    raise typer.Exit(EXIT_FAILED if lines else 0)
+
+
+@manifest_app.command('publish')
+def publish_manifest(
+    path: ManifestFile,
+    admin: Admin = _DEFAULT_ADMIN,
+    admin_token: Token = '',
+    log: Annotated[
+        str | None,
+        typer.Option(
+            envvar='AMARANTHRAIL_PLATFORM',
+            help='Publish straight to the log service at this address.',
+        ),
+    ] = None,
+    base: Base = None,
+    as_json: AsJson = False,
+) -> None:
+    """Publish a manifest: accepted (0), refused (3) or unknown yet (4)."""
+    text, _ = _read_manifest(path)
+
+    async def publish() -> Published:
+        if log is not None:
+            return await publish_to_log(log, text, base)
+        return await _api(admin, admin_token).publish(text, base)
+
+    published = _run(publish)
+    if as_json:
+        _write_json(published)
+    else:
+        _write(_tell_published(published))
+    codes = {
+        PublishState.ACCEPTED: 0,
+        PublishState.REFUSED: EXIT_REFUSED,
+        PublishState.UNKNOWN: EXIT_UNKNOWN,
+    }
+    raise typer.Exit(codes[published.state])
+
+
+def _tell_published(published: Published) -> str:
+    match published.state:
+        case PublishState.ACCEPTED:
+            return f'accepted as version {published.version}'
+        case PublishState.REFUSED:
+            return (
+                f'refused: {published.reason}; '
+                f'version {published.version} is in force'
+            )
+        case PublishState.UNKNOWN:
+            return (
+                f'unknown yet: change {published.change} is not in the log; '
+                'ask again with "amaranthrail manifest show", and publish '
+                'again with --base only if the version there is unchanged'
+            )
+
+
+@app.command('status')
+def status(
+    admin: Admin = _DEFAULT_ADMIN,
+    admin_token: Token = '',
+    as_json: AsJson = False,
+) -> None:
+    """Show entries and upstreams; exit 1 if an entry does not answer."""
+    found = _run(_api(admin, admin_token).statuses)
+    if as_json:
+        _write_json(found)
+    else:
+        _show_status(found)
+    failed = any('error' in one for one in found)
+    raise typer.Exit(EXIT_FAILED if failed else 0)
+
+
+def _show_status(found: list[dict[str, Any]]) -> None:
+    for one in found:
+        error = one.get('error')
+        if error:
+            _write(f'{one["entry"]}: {error}')
+            continue
+        filings = one['filings']
+        _write(
+            f'{one["entry"]}: ready={one["ready"]} '
+            f'manifest={one["manifest_version"]} '
+            f'log={"up" if one["log_reachable"] else "down"} '
+            f'records_skipped={one["records_skipped"]} '
+            f'lost={filings["lost"]} open={filings["open"]}',
+        )
+        columns = (
+            'upstream',
+            'service',
+            'failure_domain',
+            'connected',
+            'takes_work',
+            'queued',
+            'running',
+            'manifest_version',
+        )
+        _write_table(
+            columns,
+            [
+                [str(upstream[column]) for column in columns]
+                for upstream in one['upstreams']
+            ],
+        )
+
+
+@app.command('timeline')
+def timeline(
+    admin: Admin = _DEFAULT_ADMIN,
+    admin_token: Token = '',
+    as_json: AsJson = False,
+    last: Annotated[int, typer.Option(help='Show this many events.')] = 200,
+) -> None:
+    """Show the events of all processes, causes before effects."""
+    events = _run(_api(admin, admin_token).timeline)[-last:]
+    if as_json:
+        _write_json(events)
+        return
+    rows = [
+        [
+            wall_time(event.stamp),
+            event.process,
+            event.name,
+            event.subject,
+            event.detail,
+        ]
+        for event in events
+    ]
+    _write_table(('time', 'process', 'event', 'subject', 'detail'), rows)
+
+
+def wall_time(stamp: int) -> str:
+    """Return the time of day that a stamp carries, to the millisecond."""
+    seconds = stamp_to_wall(stamp) / MS_PER_SECOND
+    moment = datetime.fromtimestamp(seconds, tz=UTC)
+    return moment.strftime('%H:%M:%S.%f')[:-3]
+
+
+@lost_app.command('list')
+def list_lost(
+    admin: Admin = _DEFAULT_ADMIN,
+    admin_token: Token = '',
+    as_json: AsJson = False,
+) -> None:
+    """Show keyed requests whose outcome cannot be known."""
+    found = _run(_api(admin, admin_token).lost)
+    if as_json:
+        _write_json(found)
+        return
+    columns = ('key', 'operation', 'upstream', 'attempt', 'reason')
+    rows = [[str(one[column]) for column in columns] for one in found]
+    _write_table(columns, rows)
+
+
+@lost_app.command('resolve')
+def resolve_lost(
+    key: Annotated[str, typer.Argument(help='Key as the list shows it.')],
+    outcome: Annotated[str, typer.Argument(help='ran or not-run')],
+    admin: Admin = _DEFAULT_ADMIN,
+    admin_token: Token = '',
+) -> None:
+    """Say what became of a lost key; not-run lets it be tried again."""
+    if outcome not in {'ran', 'not-run'}:
+        _fail(f'outcome is {outcome!r}: give ran or not-run', EXIT_USAGE)
+
+    async def resolve() -> bool:
+        return await _api(admin, admin_token).resolve(key, outcome)
+
+    recorded = _run(resolve)
+    _write(f'{key}: {outcome}' if recorded else f'{key}: not recorded yet')
+    raise typer.Exit(0 if recorded else EXIT_UNKNOWN)
+
+
+@app.command('drain')
+def drain(
+    upstream: Annotated[str, typer.Argument(help='Name of the upstream.')],
+    end: Annotated[bool, typer.Option('--end', help='End the drain.')] = False,
+    admin: Admin = _DEFAULT_ADMIN,
+    admin_token: Token = '',
+) -> None:
+    """Send no new work to an upstream, or send it work again."""
+
+    async def order() -> bool:
+        return await _api(admin, admin_token).drain(upstream, draining=not end)
+
+    in_force = _run(order)
+    _write(f'{upstream}: {"in force" if in_force else "not in force yet"}')
+    raise typer.Exit(0 if in_force else EXIT_UNKNOWN)
+
+
+def _pretty(text: bytes) -> str:
+    return json.dumps(json.loads(text), indent=1, sort_keys=True)
--- /dev/null
+++ b/src/amaranthrail/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers: identify, admit, route, retry and keep keyed work."""
--- /dev/null
+++ b/src/amaranthrail/entry/filings.py
@@ -0,0 +1,394 @@
+"""Run work that must not repeat, at most once, and lose none silently."""
+
+from __future__ import annotations
+
+import hashlib
+import uuid
+from dataclasses import dataclass
+from functools import partial
+
+import trio
+
+from ..adapters.httpclient import HttpAnswer
+from ..clock import MS_PER_SECOND, move_on_after, sleep
+from ..logs import part_logger
+from ..outcomes import Outcome, Reason, Refusal, not_run, unknown
+from ..policy.pick import rendezvous
+from ..records import FilingState, Intent, Resolution
+from ..types import FilingKey
+from .call import Call, Target, make_dispatch
+from .conclusions import Answer, Conclusions, key_reused, recorded_answer
+from .core import EntryCore
+from .exchange import Exchange
+from .ledger import Filing
+from .peers import Peer
+
+#: How long another entry's intent is left alone before its sidecar is asked.
+ATTACH_WAIT_MS = 1000.0
+#: How long an intent may take to appear in the log.
+RECORD_WAIT_MS = 2500.0
+#: An intent claimed later than this after it was made is not dispatched.
+MAX_CLAIM_MS = 3000.0
+MAX_ATTEMPTS = 3
+_SWEEP_MS = 500.0
+_ASK_AGAIN_MS = 100.0
+_ASK_TIMEOUT_MS = 1500.0
+_SPREAD_MS = 1000
+_log = part_logger('filings')
+
+
+@dataclass(slots=True)
+class _Job:
+    """Share one key's work between the callers who ask for it here."""
+
+    digest: str
+    done: trio.Event
+    answer: Answer
+
+
+class Filings:
+    """Own the keyed work of one entry."""
+
+    def __init__(self, core: EntryCore, nursery: trio.Nursery) -> None:
+        """Take the nursery in which work outlives its caller's connection."""
+        self._core = core
+        self._runtime = core.runtime
+        self._ledger = core.shards.ledger
+        self._nursery = nursery
+        self._conclusions = Conclusions(core.runtime, core.shards)
+        self._jobs: dict[FilingKey, _Job] = {}
+
+    @property
+    def in_progress(self) -> int:
+        """Return how many keys are being worked on here."""
+        return len(self._jobs)
+
+    async def file(self, call: Call) -> Answer:
+        """Return the answer to a keyed request, now or from the record."""
+        key = call.key
+        if key is None:
+            return not_run(
+                Reason.KEY_REQUIRED,
+                f'{call.operation_name} may run only once: '
+                'send an Idempotency-Key',
+            )
+        digest = request_digest(call)
+        job = self._jobs.get(key)
+        if job is None:
+            refusal = not_run(
+                Reason.LOG_UNAVAILABLE, 'the log has not answered'
+            )
+            job = _Job(digest, trio.Event(), refusal)
+            self._jobs[key] = job
+            self._nursery.start_soon(self._work, key, call, job)
+        elif job.digest != digest:
+            return key_reused(key)
+        with move_on_after(call.left_ms(self._runtime.clock)):
+            await job.done.wait()
+        if job.done.is_set():
+            return job.answer
+        return unknown(Reason.STILL_RUNNING, 'ask again with the same key')
+
+    async def sweep(self) -> None:
+        """Settle, for good, open keys that nobody has concluded in time."""
+        while True:
+            await sleep(_SWEEP_MS)
+            self._core.shards.forget_expired()
+            for filing in self._ledger.open():
+                key = FilingKey(filing.intent.key)
+                if key not in self._jobs and self._is_overdue(filing):
+                    job = _Job('', trio.Event(), unknown(Reason.STILL_RUNNING))
+                    self._jobs[key] = job
+                    self._nursery.start_soon(self._settle_overdue, key, job)
+
+    async def resolve(
+        self,
+        key: FilingKey,
+        state: FilingState,
+        author: str,
+        timeout_ms: float,
+    ) -> bool:
+        """Close a lost key by an operator's word; tell if it is recorded."""
+        filing = self._ledger.find(key)
+        if filing is None or filing.state is not FilingState.LOST:
+            return False
+        self._core.shards.add(
+            Resolution(
+                key=key,
+                intent=filing.intent.id,
+                state=state,
+                author=author,
+            ),
+        )
+        with move_on_after(timeout_ms):
+            while self._state_of(key) is FilingState.LOST:
+                await self._ledger.wait_changed()
+        return self._state_of(key) is state
+
+    def _state_of(self, key: FilingKey) -> FilingState | None:
+        filing = self._ledger.find(key)
+        return None if filing is None else filing.state
+
+    def _is_overdue(self, filing: Filing) -> bool:
+        # Entries take turns, so that one settles while the others look on.
+        turn = rendezvous(filing.intent.id, self._runtime.incarnation)
+        grace = self._core.settings.lost_grace_ms + turn % _SPREAD_MS
+        return self._runtime.clock.wall() > filing.intent.deadline + grace
+
+    async def _settle_overdue(self, key: FilingKey, job: _Job) -> None:
+        filing = self._ledger.find(key)
+        if filing is not None and filing.state is FilingState.OPEN:
+            job.answer = await self._settle(filing.intent)
+        self._finish(key, job)
+
+    async def _work(self, key: FilingKey, call: Call, job: _Job) -> None:
+        job.answer = await self._answer(key, call, job.digest)
+        self._finish(key, job)
+
+    def _finish(self, key: FilingKey, job: _Job) -> None:
+        self._jobs.pop(key, None)
+        job.done.set()
+
+    async def _answer(self, key: FilingKey, call: Call, digest: str) -> Answer:
+        if not await self._caught_up(key, call):
+            return not_run(
+                Reason.LOG_UNAVAILABLE,
+                'the record of this key cannot be read',
+                int(MS_PER_SECOND),
+            )
+        outcome: Answer = not_run(Reason.NO_CAPACITY)
+        for _ in range(MAX_ATTEMPTS):
+            filing = self._ledger.find(key)
+            if filing is not None and filing.state is not FilingState.VOID:
+                return await self._attach(filing, digest)
+            outcome = await self._attempt(key, call, digest)
+            if not _may_try_again(outcome):
+                break
+            self._runtime.metrics.count('filing_attempts_again')
+        return outcome
+
+    async def _caught_up(self, key: FilingKey, call: Call) -> bool:
+        shard = self._core.shards.shard_of(key)
+        with move_on_after(
+            min(RECORD_WAIT_MS, call.left_ms(self._runtime.clock))
+        ):
+            await shard.follower.wait_caught_up()
+            return True
+        return False
+
+    async def _attach(self, filing: Filing, digest: str) -> Answer:
+        """Return what became of an attempt that was claimed before."""
+        if filing.intent.digest != digest:
+            return key_reused(FilingKey(filing.intent.key))
+        if filing.state is FilingState.OPEN:
+            return await self._follow(filing.intent)
+        return recorded_answer(filing)
+
+    async def _follow(self, intent: Intent) -> Answer:
+        """Wait for its owner to conclude an attempt, then ask the sidecar."""
+        key = FilingKey(intent.key)
+        with move_on_after(ATTACH_WAIT_MS):
+            while self._is_open(intent):
+                await self._ledger.wait_changed()
+        if self._is_open(intent):
+            return await self._settle(intent)
+        filing = self._ledger.find(key)
+        if filing is None:
+            return unknown(Reason.KEY_LOST, 'the record has expired')
+        return recorded_answer(filing)
+
+    def _is_open(self, intent: Intent) -> bool:
+        filing = self._ledger.find(FilingKey(intent.key))
+        return (
+            filing is not None
+            and filing.intent.id == intent.id
+            and filing.state is FilingState.OPEN
+        )
+
+    async def _attempt(
+        self,
+        key: FilingKey,
+        call: Call,
+        digest: str,
+    ) -> Answer:
+        peer = self._core.choose(call, frozenset())
+        if isinstance(peer, Refusal):
+            return peer
+        if not self._core.shards.reachable:
+            return not_run(
+                Reason.LOG_UNAVAILABLE,
+                'work that may run only once needs the log',
+                int(MS_PER_SECOND),
+            )
+        began = self._runtime.clock.now()
+        intent = self._make_intent(key, call, digest, peer)
+        self._core.shards.add(intent)
+        claimed = await self._wait_claimed(intent, call)
+        if claimed is None:
+            # Only this entry may dispatch the intent and it never will.
+            self._conclusions.void(intent, 'not recorded in time')
+            return not_run(
+                Reason.LOG_UNAVAILABLE,
+                'the intent was not recorded in time',
+                int(MS_PER_SECOND),
+            )
+        if claimed.intent.id != intent.id:
+            return await self._attach(claimed, digest)
+        return await self._dispatch(intent, call, peer, began)
+
+    def _make_intent(
+        self,
+        key: FilingKey,
+        call: Call,
+        digest: str,
+        peer: Peer,
+    ) -> Intent:
+        known = self._ledger.find(key)
+        left_ms = call.left_ms(self._runtime.clock)
+        return Intent(
+            key=key,
+            id=uuid.uuid4().hex,
+            attempt=1 if known is None else known.intent.attempt + 1,
+            digest=digest,
+            service=call.route.service.name,
+            upstream=peer.name,
+            incarnation=peer.incarnation or '',
+            entry=self._runtime.incarnation,
+            deadline=self._runtime.clock.wall() + int(left_ms),
+            operation=call.operation_name,
+        )
+
+    async def _wait_claimed(self, intent: Intent, call: Call) -> Filing | None:
+        """Return who holds the key once the intent's place is known."""
+        left_ms = call.left_ms(self._runtime.clock)
+        with move_on_after(min(RECORD_WAIT_MS, left_ms)):
+            while True:
+                filing = self._ledger.find(FilingKey(intent.key))
+                is_newer = filing and filing.intent.attempt >= intent.attempt
+                if filing is not None and is_newer:
+                    return filing
+                await self._ledger.wait_changed()
+        return None
+
+    async def _dispatch(
+        self,
+        intent: Intent,
+        call: Call,
+        peer: Peer,
+        began: float,
+    ) -> Answer:
+        # A process that was paused in between must not dispatch: the sidecar
+        # may have voided the intent and forgotten that again.
+        claimed_ms = self._runtime.clock.now() - began
+        late = (
+            claimed_ms > MAX_CLAIM_MS or self._conclusions.left_ms(intent) <= 0
+        )
+        moved = peer.incarnation != intent.incarnation
+        if late or moved or not peer.takes_work:
+            self._conclusions.void(intent, 'never dispatched')
+            return await self._voided(intent, Reason.WRONG_INCARNATION)
+        version = self._runtime.configuration.version
+        target = Target(intent.incarnation, version, intent.id)
+        clock = self._runtime.clock
+        exchange = peer.dispatch(partial(make_dispatch, call, clock, target))
+        self._runtime.timeline.add('filing-dispatched', intent.id, peer.name)
+        answer = await self._collect(
+            peer, exchange, self._conclusions.left_ms(intent)
+        )
+        return await self._take_outcome(intent, answer)
+
+    async def _collect(
+        self,
+        peer: Peer,
+        exchange: Exchange,
+        bound_ms: float,
+    ) -> Answer:
+        """Return the whole answer of an exchange, or why there is none."""
+        answer: Answer = unknown(Reason.PEER_GONE, 'no answer in time')
+        try:
+            with move_on_after(bound_ms):
+                answer = await _read_answer(exchange)
+        finally:
+            peer.close(exchange, cancel=False)
+        return answer
+
+    async def _take_outcome(self, intent: Intent, answer: Answer) -> Answer:
+        if isinstance(answer, HttpAnswer):
+            self._conclusions.ran(intent, answer)
+            return answer
+        if answer.outcome is Outcome.NOT_RUN:
+            self._conclusions.void(intent, answer.reason.value)
+            return await self._voided(intent, answer.reason)
+        if answer.reason is Reason.PEER_GONE:
+            return await self._settle(intent)
+        self._conclusions.lost(intent, answer.reason.value)
+        return answer
+
+    async def _settle(self, intent: Intent) -> Answer:
+        """Ask the sidecar until it answers, is gone, or time is up."""
+        give_up_ms = (
+            self._conclusions.left_ms(intent)
+            + self._core.settings.lost_grace_ms
+        )
+        give_up = self._runtime.clock.now() + max(_ASK_TIMEOUT_MS, give_up_ms)
+        while self._runtime.clock.now() < give_up:
+            filing = self._ledger.find(FilingKey(intent.key))
+            if filing is not None and filing.state is not FilingState.OPEN:
+                return recorded_answer(filing)
+            peer = self._core.roster.find(intent.upstream)
+            if peer is not None and peer.is_gone(intent.incarnation):
+                break
+            answer = await self._ask(peer, intent)
+            if answer is not None:
+                return await self._take_outcome(intent, answer)
+            await sleep(_ASK_AGAIN_MS)
+        self._conclusions.lost(intent, 'sidecar gone')
+        _log.warning('filing lost', key=intent.key, upstream=intent.upstream)
+        return unknown(
+            Reason.KEY_LOST,
+            f'{intent.upstream} ended before it told the outcome',
+        )
+
+    async def _ask(self, peer: Peer | None, intent: Intent) -> Answer | None:
+        """Return what the sidecar says, None where it cannot be asked now."""
+        if peer is None or not peer.connected:
+            return None
+        exchange = peer.inquire(intent.id)
+        answer = await self._collect(peer, exchange, _ASK_TIMEOUT_MS)
+        gone = isinstance(answer, Refusal) and answer.reason is Reason.PEER_GONE
+        return None if gone else answer
+
+    async def _voided(self, intent: Intent, reason: Reason) -> Answer:
+        """Return "not run" once it is on record, so that all may try again."""
+        with move_on_after(RECORD_WAIT_MS):
+            while self._is_open(intent):
+                await self._ledger.wait_changed()
+        return not_run(reason, 'voided before its start', int(MS_PER_SECOND))
+
+
+async def _read_answer(exchange: Exchange) -> Answer:
+    head = await exchange.wait_head()
+    if isinstance(head, Refusal):
+        return head
+    body = await exchange.read_rest()
+    if isinstance(body, Refusal):
+        return body
+    return HttpAnswer(head.status, head.headers, body)
+
+
+def _may_try_again(answer: Answer) -> bool:
+    return isinstance(answer, Refusal) and answer.reason in {
+        Reason.WRONG_INCARNATION,
+        Reason.STALE_DISPATCH,
+        Reason.STALE_MANIFEST,
+        Reason.DRAINING,
+        Reason.VOIDED,
+        Reason.UPSTREAM_UNREACHABLE,
+    }
+
+
+def request_digest(call: Call) -> str:
+    """Return what tells whether two requests of one key are the same."""
+    request = call.request
+    head = f'{request.method} {request.target}\n'.encode()
+    return hashlib.sha256(head + request.body).hexdigest()
--- /dev/null
+++ b/src/amaranthrail/outcomes.py
@@ -0,0 +1,93 @@
+"""Name what became of a request, and why."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from types import MappingProxyType
+
+
+class Outcome(Enum):
+    """Tell a caller whether its request ran."""
+
+    RAN = 'ran'
+    NOT_RUN = 'not-run'
+    UNKNOWN = 'unknown'
+
+
+class Reason(Enum):
+    """Say why a request was refused or lost."""
+
+    BAD_REQUEST = 'bad-request'
+    BAD_CREDENTIAL = 'bad-credential'
+    NO_ROUTE = 'no-route'
+    KEY_REQUIRED = 'key-required'
+    KEY_REUSED = 'key-reused'
+    KEY_LOST = 'key-lost'
+    BODY_TOO_LARGE = 'body-too-large'
+    ORGANISATION_LIMIT = 'organisation-limit'
+    NO_MANIFEST = 'no-manifest'
+    NO_CAPACITY = 'no-capacity'
+    NO_REPLICA = 'no-replica'
+    LOG_UNAVAILABLE = 'log-unavailable'
+    SHUTTING_DOWN = 'shutting-down'
+    DRAINING = 'draining'
+    EXPIRED = 'expired'
+    WRONG_INCARNATION = 'wrong-incarnation'
+    STALE_DISPATCH = 'stale-dispatch'
+    STALE_MANIFEST = 'stale-manifest'
+    VOIDED = 'voided'
+    UPSTREAM_UNREACHABLE = 'upstream-unreachable'
+    UPSTREAM_BROKEN = 'upstream-broken'
+    PEER_GONE = 'peer-gone'
+    CANCELLED = 'cancelled'
+    STILL_RUNNING = 'still-running'
+    ANSWER_TOO_LARGE = 'answer-too-large'
+
+
+_STATUS = MappingProxyType(
+    {
+        Reason.BAD_REQUEST: 400,
+        Reason.KEY_REQUIRED: 400,
+        Reason.BAD_CREDENTIAL: 401,
+        Reason.NO_ROUTE: 404,
+        Reason.KEY_LOST: 409,
+        Reason.BODY_TOO_LARGE: 413,
+        Reason.KEY_REUSED: 422,
+        Reason.ORGANISATION_LIMIT: 429,
+    }
+)
+_STATUS_NOT_RUN = 503
+_STATUS_UNKNOWN = 504
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Stand for an answer that is not there, with its outcome and reason."""
+
+    outcome: Outcome
+    reason: Reason
+    detail: str = ''
+    retry_after_ms: int | None = None
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status that tells this refusal to a caller."""
+        fallback = _STATUS_UNKNOWN
+        if self.outcome is Outcome.NOT_RUN:
+            fallback = _STATUS_NOT_RUN
+        return _STATUS.get(self.reason, fallback)
+
+
+def not_run(
+    reason: Reason,
+    detail: str = '',
+    retry_after_ms: int | None = None,
+) -> Refusal:
+    """Return the refusal of work that certainly did not run."""
+    return Refusal(Outcome.NOT_RUN, reason, detail, retry_after_ms)
+
+
+def unknown(reason: Reason, detail: str = '') -> Refusal:
+    """Return the refusal of work that may have run."""
+    return Refusal(Outcome.UNKNOWN, reason, detail)
--- /dev/null
+++ b/src/amaranthrail/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decide without doing: pick, admit, size, retry, plan."""
--- /dev/null
+++ b/src/amaranthrail/policy/retries.py
@@ -0,0 +1,34 @@
+"""Bound retries to a share of first tries."""
+
+from __future__ import annotations
+
+_MAX_SAVED = 10.0
+
+
+class RetryBudget:
+    """Earn a share of a retry with each first try, up to a few saved."""
+
+    def __init__(self, share: float) -> None:
+        """Take the retries allowed for one first try."""
+        self._share = share
+        self._saved = _MAX_SAVED if share else 0.0
+
+    @property
+    def saved(self) -> float:
+        """Return how many retries could be made now."""
+        return self._saved
+
+    def change_share(self, share: float) -> None:
+        """Take a new share; what has been saved stays."""
+        self._share = share
+
+    def earn(self) -> None:
+        """Count a first try."""
+        self._saved = min(_MAX_SAVED, self._saved + self._share)
+
+    def spend(self) -> bool:
+        """Take one retry from the budget; tell whether there was one."""
+        if self._saved < 1:
+            return False
+        self._saved -= 1
+        return True
--- /dev/null
+++ b/src/amaranthrail/runtime.py
@@ -0,0 +1,37 @@
+"""Bundle what every part of one process shares."""
+
+from __future__ import annotations
+
+import secrets
+from dataclasses import dataclass, field
+
+from .clock import Clock
+from .configuration import Configuration
+from .metrics import Metrics
+from .timeline import Timeline
+from .types import DomainName, Incarnation, ProcessName
+
+_INCARNATION_BYTES = 6
+
+
+def new_incarnation() -> Incarnation:
+    """Return the identity of a fresh run of a process."""
+    return Incarnation(secrets.token_hex(_INCARNATION_BYTES))
+
+
+@dataclass(frozen=True)
+class Runtime:
+    """Hold one process's identity, clock, records and configuration."""
+
+    process: ProcessName
+    domain: DomainName
+    clock: Clock = field(default_factory=Clock)
+    metrics: Metrics = field(default_factory=Metrics)
+    configuration: Configuration = field(default_factory=Configuration)
+    incarnation: Incarnation = field(default_factory=new_incarnation)
+    timeline: Timeline = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Make the time line that this process signs."""
+        timeline = Timeline(self.clock, self.process, self.incarnation)
+        object.__setattr__(self, 'timeline', timeline)
--- /dev/null
+++ b/src/amaranthrail/settings.py
@@ -0,0 +1,295 @@
+"""Hold one process's settings, filled from flags, environment, defaults."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from pathlib import Path
+from typing import Annotated, Any, TypeVar
+
+from pydantic import (
+    BaseModel,
+    BeforeValidator,
+    ConfigDict,
+    Field,
+    ValidationError,
+    model_validator,
+)
+from pydantic.fields import FieldInfo
+from typing_extensions import Doc
+
+from .adapters.httpclient import Address, parse_address
+from .exceptions import SettingError
+from .logs import LogFormat, LogLevel
+from .tls import TlsFiles, is_loopback
+
+ENVIRONMENT_PREFIX = 'AMARANTHRAIL_'
+MIN_SECRET_LENGTH = 16
+_MAX_PORT = 65_535
+
+
+def _read_address(given: object) -> Address:
+    try:
+        address = parse_address(str(given))
+        is_loopback(address.host)
+    except ValueError as error:
+        raise ValueError(
+            'give an IP number and a port, as in 127.0.0.1:8080'
+        ) from error
+    if not 0 <= address.port <= _MAX_PORT:
+        raise ValueError('give a port from 0 to 65535')
+    return address
+
+
+Endpoint = Annotated[Address, BeforeValidator(_read_address)]
+Secret = Annotated[str, Field(min_length=MIN_SECRET_LENGTH, repr=False)]
+ShortMs = Annotated[int, Field(ge=10, le=60_000)]
+
+
+class ProcessSettings(BaseModel):
+    """Hold the settings that entries and sidecars share."""
+
+    model_config = ConfigDict(
+        extra='forbid',
+        frozen=True,
+        arbitrary_types_allowed=True,
+    )
+
+    name: Annotated[
+        str,
+        Field(min_length=1, max_length=64),
+        Doc('name of this process, unique in the deployment'),
+    ]
+    listen: Annotated[Endpoint, Doc('IP number and port to serve on')]
+    admin_listen: Annotated[
+        Endpoint,
+        Doc('IP number and port of administration, health and metrics'),
+    ]
+    admin_token: Annotated[Secret, Doc('token of the administration API')]
+    peer_key: Annotated[Secret, Doc('key that all processes share')]
+    domain: Annotated[
+        str,
+        Field(min_length=1),
+        Doc('failure domain that this process is in'),
+    ]
+    platform: Annotated[Endpoint, Doc('address of log service and host list')]
+    heartbeat_ms: Annotated[ShortMs, Doc('time between heartbeats')] = 500
+    silence_ms: Annotated[
+        ShortMs,
+        Doc('silence of a peer that ends its connection'),
+    ] = 2000
+    log_format: Annotated[LogFormat, Doc('json or console')] = LogFormat.JSON
+    log_level: Annotated[
+        LogLevel,
+        Doc('debug, info, warning or error'),
+    ] = LogLevel.INFO
+    peer_certificate: Annotated[
+        Path | None,
+        Doc('PEM certificate shown to peers'),
+    ] = None
+    peer_private_key: Annotated[
+        Path | None,
+        Doc('PEM private key of the peer certificate'),
+    ] = None
+    peer_authority: Annotated[
+        Path | None,
+        Doc('PEM authority that signs peer certificates'),
+    ] = None
+
+    @property
+    def peer_tls(self) -> TlsFiles | None:
+        """Return the files for mutual TLS between peers, if set."""
+        if self.peer_certificate is None or self.peer_private_key is None:
+            return None
+        return TlsFiles(
+            self.peer_certificate,
+            self.peer_private_key,
+            self.peer_authority,
+        )
+
+    @model_validator(mode='after')
+    def _peer_files_go_together(self) -> ProcessSettings:
+        files = (
+            self.peer_certificate,
+            self.peer_private_key,
+            self.peer_authority,
+        )
+        if any(files) and not all(files):
+            raise ValueError(
+                'peer_certificate: give certificate, private key and '
+                'authority together',
+            )
+        if self.silence_ms < 2 * self.heartbeat_ms:
+            raise ValueError(
+                'silence_ms: give at least twice heartbeat_ms',
+            )
+        return self
+
+
+class EntrySettings(ProcessSettings):
+    """Hold an entry's settings."""
+
+    subset: Annotated[
+        int,
+        Field(ge=1, le=10_000),
+        Doc('replicas of each service to stay connected to'),
+    ] = 32
+    shards: Annotated[
+        int,
+        Field(ge=1, le=256),
+        Doc('shards of the filing record, the same at every entry'),
+    ] = 4
+    shard_interval_ms: Annotated[
+        int,
+        Field(ge=0, le=10_000),
+        Doc('least time between two appends to one shard'),
+    ] = 20
+    hosts_interval_ms: Annotated[
+        ShortMs,
+        Doc('time between reads of the host list'),
+    ] = 500
+    lost_grace_ms: Annotated[
+        ShortMs,
+        Doc('time past its deadline until a filing counts as lost'),
+    ] = 2000
+    caller_certificate: Annotated[
+        Path | None,
+        Doc('PEM certificate shown to callers'),
+    ] = None
+    caller_private_key: Annotated[
+        Path | None,
+        Doc('PEM private key of the caller certificate'),
+    ] = None
+
+    @property
+    def caller_tls(self) -> TlsFiles | None:
+        """Return the files for TLS towards callers, if set."""
+        if self.caller_certificate is None or self.caller_private_key is None:
+            return None
+        return TlsFiles(self.caller_certificate, self.caller_private_key)
+
+    @model_validator(mode='after')
+    def _caller_files_go_together(self) -> EntrySettings:
+        if (self.caller_certificate is None) != (
+            self.caller_private_key is None
+        ):
+            raise ValueError(
+                'caller_certificate: give certificate and private key together',
+            )
+        if self.caller_tls is None and not is_loopback(self.listen.host):
+            raise ValueError(
+                'listen: outside loopback give caller_certificate and '
+                'caller_private_key',
+            )
+        if not is_loopback(self.admin_listen.host):
+            raise ValueError(
+                'admin_listen: the administration port has no TLS; '
+                'give a loopback address',
+            )
+        return self
+
+
+class SidecarSettings(ProcessSettings):
+    """Hold a sidecar's settings."""
+
+    service: Annotated[
+        str,
+        Field(min_length=1),
+        Doc('service that the upstream belongs to'),
+    ]
+    upstream: Annotated[
+        str,
+        Field(min_length=1),
+        Doc('name of the upstream, as the host list has it'),
+    ]
+    upstream_address: Annotated[Endpoint, Doc('IP number and port of it')]
+    slots: Annotated[
+        int,
+        Field(ge=1, le=4096),
+        Doc('requests it runs at a time until a manifest says otherwise'),
+    ] = 8
+    shutdown_ms: Annotated[
+        int,
+        Field(ge=0, le=3_600_000),
+        Doc('longest wait for the last answer at shutdown'),
+    ] = 600_000
+
+    @model_validator(mode='after')
+    def _peer_port_is_guarded(self) -> SidecarSettings:
+        if self.peer_tls is None and not is_loopback(self.listen.host):
+            raise ValueError(
+                'listen: outside loopback give peer_certificate, '
+                'peer_private_key and peer_authority',
+            )
+        return self
+
+
+@dataclass(frozen=True, slots=True)
+class SettingText:
+    """Describe one setting for ``--help`` and the docs."""
+
+    name: str
+    text: str
+
+
+def describe_settings(kind: type[ProcessSettings]) -> list[SettingText]:
+    """Return every setting of a kind of process, in order."""
+    return [
+        SettingText(name, _describe(field))
+        for name, field in kind.model_fields.items()
+    ]
+
+
+def _describe(field: FieldInfo) -> str:
+    docs = [one for one in field.metadata if isinstance(one, Doc)]
+    text = docs[0].documentation
+    if field.is_required():
+        return f'{text} (required)'
+    default = field.default
+    if default is None:
+        return f'{text} (none)'
+    shown = default.value if isinstance(default, Enum) else default
+    return f'{text} ({shown})'
+
+
+_Settings = TypeVar('_Settings', bound=ProcessSettings)
+
+
+def load_settings(
+    kind: type[_Settings],
+    given: dict[str, Any],
+) -> _Settings:
+    """Return checked settings; what was not given takes its default.
+
+    Raises SettingError for the first setting that is wrong.
+    """
+    chosen = {name: raw for name, raw in given.items() if raw is not None}
+    try:
+        return kind.model_validate(chosen)
+    except ValidationError as error:
+        raise _setting_error(error, chosen) from error
+
+
+def _setting_error(
+    error: ValidationError,
+    chosen: dict[str, Any],
+) -> SettingError:
+    fault = error.errors()[0]
+    message = fault['msg'].removeprefix('Value error, ')
+    if fault['loc']:
+        name = str(fault['loc'][0])
+    else:
+        # A check over several settings begins its message with one's name.
+        name, _, message = message.partition(': ')
+    flag = name.replace('_', '-')
+    return SettingError(
+        f'--{flag} ({ENVIRONMENT_PREFIX}{name.upper()})',
+        _shown(name, chosen),
+        message,
+    )
+
+
+def _shown(name: str, chosen: dict[str, Any]) -> object:
+    if name in {'admin_token', 'peer_key'} and name in chosen:
+        return f'({len(str(chosen[name]))} characters)'
+    return chosen.get(name, '(not given)')
--- /dev/null
+++ b/src/amaranthrail/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""Guard one upstream: queue, run at most once, drain, report load."""
--- /dev/null
+++ b/src/amaranthrail/sidecar/peers.py
@@ -0,0 +1,300 @@
+"""Serve one connection of an entry: take work, send answers, tell load."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import trio
+
+from ..adapters.link import HANDSHAKE_TIMEOUT_S, Link, LinkClosedError, admit
+from ..clock import sleep
+from ..exceptions import FrameError
+from ..frames import (
+    Ack,
+    AnyFrame,
+    Broken,
+    Cancel,
+    Dispatch,
+    Events,
+    EventsAsk,
+    GroupOrder,
+    Heartbeat,
+    Hello,
+    Inquire,
+    ManifestPull,
+    ManifestPush,
+    Refused,
+    Resume,
+    Welcome,
+)
+from ..logs import part_logger
+from ..outcomes import Reason, Refusal
+from ..runtime import Runtime
+from ..settings import SidecarSettings
+from ..spread import compare_versions, push_frame, take_push
+from ..timeline import encode_events
+from ..types import RequestId
+from .gate import Gate
+from .run import NOTHING_SENT, Progress, Run
+from .slots import Slots
+from .worker import Worker
+
+_log = part_logger('peers')
+
+
+@dataclass(frozen=True, slots=True)
+class Office:
+    """Hold what all connections of one sidecar share."""
+
+    runtime: Runtime
+    settings: SidecarSettings
+    gate: Gate
+    slots: Slots
+    worker: Worker
+    runs: trio.Nursery
+
+
+class Connections:
+    """Know each entry's latest connection, so that it replaces earlier ones."""
+
+    def __init__(self) -> None:
+        """Start with no connection."""
+        self._latest: dict[str, tuple[int, trio.CancelScope]] = {}
+        self._open = 0
+
+    @property
+    def open(self) -> int:
+        """Return how many connections are open."""
+        return self._open
+
+    def count(self, change: int) -> None:
+        """Count a connection in or out."""
+        self._open += change
+
+    def replace(self, hello: Hello, scope: trio.CancelScope) -> bool:
+        """Make a connection its entry's only one; tell if it is the latest."""
+        number, earlier = self._latest.get(hello.incarnation, (0, None))
+        if hello.connection <= number:
+            return False
+        if earlier is not None:
+            earlier.cancel()
+        self._latest[hello.incarnation] = (hello.connection, scope)
+        return True
+
+    def remove(self, hello: Hello) -> None:
+        """Forget an entry whose latest connection has ended."""
+        number, _ = self._latest.get(hello.incarnation, (0, None))
+        if hello.connection == number:
+            del self._latest[hello.incarnation]
+
+
+class PeerConnection:
+    """Serve one entry's connection."""
+
+    def __init__(
+        self,
+        link: Link,
+        office: Office,
+        connections: Connections,
+    ) -> None:
+        """Take the fresh connection."""
+        self._link = link
+        self._office = office
+        self._runtime = office.runtime
+        self._connections = connections
+        self._sending: dict[str, trio.CancelScope] = {}
+
+    async def serve(self) -> None:
+        """Serve the connection until it ends."""
+        hello: Hello | None = None
+        try:
+            with trio.fail_after(HANDSHAKE_TIMEOUT_S):
+                hello = await self._admit()
+            with trio.CancelScope() as scope:
+                if self._connections.replace(hello, scope):
+                    await self._exchange_frames()
+        except* (LinkClosedError, FrameError, trio.TooSlowError) as group:
+            self._runtime.metrics.count('peer_connections_ended')
+            _log.info('connection ended', cause=str(group.exceptions[0]))
+        finally:
+            if hello is not None:
+                self._connections.remove(hello)
+
+    def announce(self) -> None:
+        """Send a heartbeat now."""
+        self._link.post(self._heartbeat())
+
+    async def _admit(self) -> Hello:
+        settings = self._office.settings
+        welcome = Welcome(
+            b'',
+            self._runtime.process,
+            self._runtime.incarnation,
+            settings.service,
+            settings.upstream,
+            settings.domain,
+        )
+        return await admit(self._link, settings.peer_key.encode(), welcome)
+
+    async def _exchange_frames(self) -> None:
+        link = self._link
+        silence_ms = self._office.settings.silence_ms
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(link.run_writer)
+            nursery.start_soon(link.watch_silence, silence_ms)
+            nursery.start_soon(self._beat)
+            while True:
+                self._take(await link.receive(), nursery)
+
+    async def _beat(self) -> None:
+        while True:
+            self._link.post(self._heartbeat())
+            await sleep(self._office.settings.heartbeat_ms)
+
+    def _heartbeat(self) -> Heartbeat:
+        configuration = self._runtime.configuration
+        slots = self._office.slots
+        return Heartbeat(
+            self._runtime.clock.stamp(),
+            self._runtime.clock.now(),
+            configuration.version,
+            configuration.drains_version,
+            slots.queued,
+            slots.running,
+            slots.work_ms(),
+            slots.count,
+            self._office.gate.leaving,
+        )
+
+    def _take(self, frame: AnyFrame, nursery: trio.Nursery) -> None:
+        match frame:
+            case Dispatch():
+                self._runtime.clock.receive(frame.stamp)
+                self._take_dispatch(frame, nursery)
+            case Ack():
+                self._take_ack(frame)
+            case Heartbeat():
+                self._runtime.clock.receive(frame.stamp)
+                compare_versions(
+                    self._link,
+                    self._runtime.configuration,
+                    frame,
+                )
+            case Resume() | Inquire() | Cancel():
+                self._take_question(frame, nursery)
+            case ManifestPush():
+                take_push(self._runtime, frame)
+            case ManifestPull():
+                self._link.post(push_frame(self._runtime.configuration))
+            case EventsAsk():
+                events = self._runtime.timeline.after(frame.after)
+                self._link.post(Events(frame.request, encode_events(events)))
+            case GroupOrder():
+                self._runtime.metrics.count('group_orders_unexpected')
+            case _:
+                raise FrameError(f'unexpected {type(frame).__name__}')
+
+    def _take_question(
+        self,
+        frame: Resume | Inquire | Cancel,
+        nursery: trio.Nursery,
+    ) -> None:
+        gate = self._office.gate
+        match frame:
+            case Resume():
+                run = gate.find(frame.request)
+                if run is None:
+                    gate.void(frame.request)
+                progress = Progress(frame.received, has_head=frame.has_head)
+                self._answer(frame.request, run, nursery, progress)
+            case Inquire():
+                self._take_inquiry(frame, nursery)
+            case Cancel():
+                self._cancel(frame.request)
+
+    def _take_inquiry(self, inquiry: Inquire, nursery: trio.Nursery) -> None:
+        if inquiry.incarnation != self._runtime.incarnation:
+            # What an earlier incarnation ran cannot be known here.
+            stamp = self._runtime.clock.stamp()
+            reason = Reason.WRONG_INCARNATION.value
+            self._link.post(Broken(inquiry.request, stamp, reason))
+            return
+        run = self._office.gate.inquire(inquiry.intent)
+        progress = Progress(inquiry.received)
+        self._answer(inquiry.request, run, nursery, progress)
+
+    def _take_dispatch(
+        self,
+        dispatch: Dispatch,
+        nursery: trio.Nursery,
+    ) -> None:
+        found = self._office.gate.check(dispatch)
+        if isinstance(found, Refusal):
+            if found.reason is Reason.STALE_MANIFEST:
+                self._link.post(push_frame(self._runtime.configuration))
+            self._refuse(dispatch.request, found.reason, found.detail)
+            return
+        if found is None:
+            found = Run(dispatch, self._runtime.clock.now())
+            self._office.gate.enter(found)
+            self._office.runs.start_soon(self._office.worker.run, found)
+        self._answer(dispatch.request, found, nursery)
+
+    def _answer(
+        self,
+        request: str,
+        run: Run | None,
+        nursery: trio.Nursery,
+        progress: Progress = NOTHING_SENT,
+    ) -> None:
+        if run is None:
+            self._refuse(request, Reason.VOIDED, 'never arrived')
+            return
+        nursery.start_soon(
+            self._send_answer,
+            RequestId(request),
+            run,
+            progress,
+        )
+
+    async def _send_answer(
+        self,
+        request: RequestId,
+        run: Run,
+        progress: Progress,
+    ) -> None:
+        scope = trio.CancelScope()
+        self._sending[request] = scope
+        with scope:
+            while True:
+                await run.wait_beyond(progress)
+                ended = run.ended
+                stamp = self._runtime.clock.stamp()
+                for frame in run.frames(request, progress, stamp):
+                    self._link.post(frame)
+                progress = Progress(run.length, has_head=True)
+                if ended:
+                    break
+        self._sending.pop(request, None)
+
+    def _take_ack(self, ack: Ack) -> None:
+        gate = self._office.gate
+        run = gate.find(ack.request)
+        if run is not None:
+            run.acknowledge(ack.received)
+        if ack.done:
+            gate.forget(ack.request)
+
+    def _cancel(self, request: str) -> None:
+        run = self._office.gate.find(request)
+        if run is None or run.dispatch.intent:
+            return
+        sending = self._sending.pop(request, None)
+        if sending is not None:
+            sending.cancel()
+        run.scope.cancel()
+
+    def _refuse(self, request: str, reason: Reason, detail: str) -> None:
+        stamp = self._runtime.clock.stamp()
+        self._runtime.metrics.count('dispatches_refused', reason=reason.value)
+        self._link.post(Refused(request, stamp, reason.value, detail))
--- /dev/null
+++ b/src/amaranthrail/sidecar/run.py
@@ -0,0 +1,188 @@
+"""Hold one request's run and its answer until the entry has it all."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import trio
+import xxhash
+
+from ..frames import Broken, Dispatch, End, Frame, Head, Part, Refused
+from ..outcomes import Outcome, Refusal
+from ..types import HeaderList, RequestId
+
+#: Bytes read from the upstream beyond what the entry has acknowledged.
+WINDOW_BYTES = 262_144
+#: Keyed answers are kept whole, for late askers, up to this size.
+MAX_KEYED_BYTES = 1_048_576
+
+
+@dataclass(frozen=True, slots=True)
+class Progress:
+    """Say how much of an answer an entry has."""
+
+    sent: int = 0
+    has_head: bool = False
+
+
+NOTHING_SENT = Progress()
+
+
+class Run:
+    """Buffer one answer; entries may read it again from any kept byte."""
+
+    def __init__(self, dispatch: Dispatch, arrived_at: float) -> None:
+        """Take the request and when it arrived, in monotonic milliseconds."""
+        self._dispatch = dispatch
+        self._arrived_at = arrived_at
+        self._finished_at: float | None = None
+        self._started = False
+        self._status = 0
+        self._headers: HeaderList = ()
+        self._kept = bytearray()
+        self._dropped = 0
+        self._digest = xxhash.xxh3_64()
+        self._whole = False
+        self._failure: Refusal | None = None
+        self._scope = trio.CancelScope()
+        self._changed = trio.Event()
+
+    @property
+    def dispatch(self) -> Dispatch:
+        """Return the request."""
+        return self._dispatch
+
+    @property
+    def scope(self) -> trio.CancelScope:
+        """Return the scope that stops the run."""
+        return self._scope
+
+    @property
+    def arrived_at(self) -> float:
+        """Return when the request arrived, in monotonic milliseconds."""
+        return self._arrived_at
+
+    @property
+    def deadline(self) -> float:
+        """Return when the caller stops waiting, in monotonic milliseconds."""
+        return self._arrived_at + self._dispatch.left_ms
+
+    @property
+    def finished_at(self) -> float | None:
+        """Return when the run ended, None while it goes on."""
+        return self._finished_at
+
+    @property
+    def started(self) -> bool:
+        """Tell whether the upstream may have seen the request."""
+        return self._started
+
+    @property
+    def failure(self) -> Refusal | None:
+        """Return why there is no whole answer, if so."""
+        return self._failure
+
+    @property
+    def length(self) -> int:
+        """Return how many bytes of the body have arrived."""
+        return self._dropped + len(self._kept)
+
+    @property
+    def ended(self) -> bool:
+        """Tell whether the run is over."""
+        return self._whole or self._failure is not None
+
+    def mark_started(self) -> None:
+        """Note that the upstream is about to see the request."""
+        self._started = True
+
+    def begin(self, status: int, headers: HeaderList) -> None:
+        """Keep the answer's head."""
+        self._status = status
+        self._headers = headers
+        self._notify()
+
+    def add(self, payload: bytes) -> None:
+        """Keep more of the body."""
+        self._digest.update(payload)
+        self._kept += payload
+        self._notify()
+
+    def complete(self, now: float) -> None:
+        """Note that the whole answer is here."""
+        self._whole = True
+        self._finish(now)
+
+    def fail(self, failure: Refusal, now: float) -> None:
+        """End the run without a whole answer."""
+        if not self.ended:
+            self._failure = failure
+            self._finish(now)
+
+    def acknowledge(self, received: int) -> None:
+        """Drop what the entry has; keyed answers stay for late askers."""
+        if self._dispatch.intent:
+            return
+        surplus = min(received, self.length) - self._dropped
+        if surplus > 0:
+            del self._kept[:surplus]
+            self._dropped += surplus
+            self._notify()
+
+    async def wait_window(self) -> None:
+        """Return once the entry has taken enough to read on."""
+        while len(self._kept) > self._limit():
+            await self._changed.wait()
+
+    async def wait_beyond(self, progress: Progress) -> None:
+        """Return once there is more to send than that."""
+        while not self.ended and self.length == progress.sent:
+            if self._status and not progress.has_head:
+                return
+            await self._changed.wait()
+
+    def frames(
+        self,
+        request: RequestId,
+        progress: Progress,
+        stamp: int,
+    ) -> list[Frame]:
+        """Return what the entry does not have yet, under an id."""
+        failure = self._failure
+        if failure is not None and failure.outcome is Outcome.NOT_RUN:
+            return [_refused(request, stamp, failure)]
+        found: list[Frame] = []
+        if self._status and not progress.has_head:
+            found.append(Head(request, stamp, self._status, self._headers))
+        payload = bytes(self._kept[max(0, progress.sent - self._dropped) :])
+        if payload:
+            found.append(Part(request, self.length - len(payload), payload))
+        if self._whole:
+            digest = self._digest.intdigest()
+            found.append(End(request, stamp, self.length, digest))
+        if failure is not None:
+            found.append(
+                Broken(request, stamp, failure.reason.value, failure.detail),
+            )
+        return found
+
+    def _limit(self) -> int:
+        return MAX_KEYED_BYTES if self._dispatch.intent else WINDOW_BYTES
+
+    def _finish(self, now: float) -> None:
+        self._finished_at = now
+        self._notify()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+
+def _refused(request: RequestId, stamp: int, failure: Refusal) -> Refused:
+    return Refused(
+        request,
+        stamp,
+        failure.reason.value,
+        failure.detail,
+        failure.retry_after_ms or 0,
+    )
--- /dev/null
+++ b/src/amaranthrail/sidecar/service.py
@@ -0,0 +1,195 @@
+"""Run a sidecar: wire its parts, serve peers, leave without cutting off."""
+
+from __future__ import annotations
+
+import ssl
+
+import trio
+
+from ..adapters.httpclient import HttpClient
+from ..adapters.httpserver import (
+    HttpRequest,
+    Reply,
+    ServerState,
+    serve_connection,
+)
+from ..adapters.link import Link
+from ..adapters.listen import open_listeners, secured
+from ..adapters.problem import send_json
+from ..clock import move_on_after, sleep
+from ..configuration import InForce
+from ..logs import part_logger
+from ..manifest import Policies
+from ..runtime import Runtime
+from ..settings import SidecarSettings
+from ..tls import server_context
+from ..types import DomainName, ProcessName
+from .gate import Gate
+from .peers import Connections, Office, PeerConnection
+from .slots import Slots
+from .worker import Worker
+
+_SWEEP_MS = 1000.0
+_CHECK_MS = 20.0
+_MAX_ADMIN_BODY = 1024
+_OK = 200
+_UNAVAILABLE = 503
+_NOT_FOUND = 404
+_log = part_logger('sidecar')
+
+
+class Sidecar:
+    """Own the parts of one sidecar process."""
+
+    def __init__(self, settings: SidecarSettings) -> None:
+        """Take the checked settings."""
+        self._settings = settings
+        self._runtime = Runtime(
+            ProcessName(settings.name),
+            DomainName(settings.domain),
+        )
+        self._gate = Gate(
+            settings.upstream,
+            self._runtime.incarnation,
+            self._runtime.clock,
+            self._runtime.configuration,
+        )
+        self._slots = Slots(self._runtime.clock, settings.slots)
+        self._worker = Worker(
+            self._runtime,
+            self._gate,
+            self._slots,
+            HttpClient(settings.upstream_address),
+        )
+        self._connections = Connections()
+        self._peers: set[PeerConnection] = set()
+        self._stopping = trio.Event()
+        self._runtime.configuration.on_change(self._configure)
+
+    @property
+    def runtime(self) -> Runtime:
+        """Return what the parts of the process share."""
+        return self._runtime
+
+    def stop(self) -> None:
+        """Begin to leave: refuse new work, finish what runs."""
+        self._stopping.set()
+
+    async def run(
+        self,
+        task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until stopped and until the last answer has been taken.
+
+        Reports the peer port once it listens.
+        """
+        settings = self._settings
+        peer_listeners = await open_listeners(settings.listen, '--listen')
+        admin = await open_listeners(settings.admin_listen, '--admin-listen')
+        self._runtime.timeline.add('started', settings.upstream)
+        _log.info('serving peers', upstream=settings.upstream)
+        async with trio.open_nursery() as nursery:
+            office = self._office(nursery)
+            nursery.start_soon(self._listen_peers, peer_listeners, office)
+            nursery.start_soon(self._listen_admin, admin)
+            nursery.start_soon(self._sweep)
+            task_status.started(peer_listeners[0].socket.getsockname()[1])
+            await self._stopping.wait()
+            await self._leave()
+            nursery.cancel_scope.cancel()
+        _log.info('ended')
+
+    def _office(self, runs: trio.Nursery) -> Office:
+        return Office(
+            self._runtime,
+            self._settings,
+            self._gate,
+            self._slots,
+            self._worker,
+            runs,
+        )
+
+    def _configure(self, in_force: InForce) -> None:
+        self._runtime.metrics.gauge('manifest_version', in_force.version)
+        for service in in_force.manifest.services:
+            if service.name == self._settings.service:
+                self._slots.configure(service.slots, service.policies)
+                return
+        self._slots.configure(self._settings.slots, Policies())
+
+    def _tls(self) -> ssl.SSLContext | None:
+        files = self._settings.peer_tls
+        return None if files is None else server_context(files)
+
+    async def _listen_peers(
+        self,
+        listeners: list[trio.SocketListener],
+        office: Office,
+    ) -> None:
+        async def serve(stream: trio.abc.Stream) -> None:
+            async with stream:
+                await self._serve_peer(stream, office)
+
+        await trio.serve_listeners(secured(serve, self._tls()), listeners)
+
+    async def _serve_peer(
+        self,
+        stream: trio.abc.Stream,
+        office: Office,
+    ) -> None:
+        link = Link(stream, self._runtime.clock)
+        peer = PeerConnection(link, office, self._connections)
+        self._peers.add(peer)
+        try:
+            await peer.serve()
+        finally:
+            self._peers.discard(peer)
+
+    async def _listen_admin(
+        self,
+        listeners: list[trio.SocketListener],
+    ) -> None:
+        state = ServerState(lambda: _MAX_ADMIN_BODY)
+
+        async def serve(stream: trio.abc.Stream) -> None:
+            await serve_connection(stream, self._administer, state)
+
+        await trio.serve_listeners(serve, listeners)
+
+    async def _administer(self, request: HttpRequest, reply: Reply) -> None:
+        match request.path:
+            case '/healthz':
+                await send_json(reply, _OK, {'alive': True})
+            case '/readyz':
+                ready = not self._gate.leaving
+                status = _OK if ready else _UNAVAILABLE
+                await send_json(reply, status, {'ready': ready})
+            case '/metrics':
+                self._gauge()
+                text = self._runtime.metrics.text()
+                kind = ('content-type', 'text/plain; version=0.0.4')
+                await reply.whole(_OK, (kind,), text)
+            case _:
+                await send_json(reply, _NOT_FOUND, {'title': 'not found'})
+
+    def _gauge(self) -> None:
+        metrics = self._runtime.metrics
+        metrics.gauge('queued', self._slots.queued)
+        metrics.gauge('running', self._slots.running)
+        metrics.gauge('remembered_runs', self._gate.remembered)
+
+    async def _sweep(self) -> None:
+        while True:
+            await sleep(_SWEEP_MS)
+            self._gate.sweep()
+
+    async def _leave(self) -> None:
+        self._gate.leave()
+        self._runtime.timeline.add('leaving', self._settings.upstream)
+        _log.info('leaving', unfinished=len(self._gate.unfinished()))
+        for peer in tuple(self._peers):
+            peer.announce()
+        with move_on_after(self._settings.shutdown_ms):
+            while self._gate.unfinished() or self._gate.untaken():
+                await sleep(_CHECK_MS)
+                self._gate.sweep()
--- /dev/null
+++ b/src/amaranthrail/timeline.py
@@ -0,0 +1,90 @@
+"""Keep this process's recent events and merge those of many processes."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+
+import msgspec
+
+from .clock import Clock
+from .types import Incarnation, ProcessName
+
+_KEPT_EVENTS = 4096
+
+
+class Event(msgspec.Struct, frozen=True):
+    """Record one thing that happened in one process.
+
+    ``stamp`` is a hybrid logical clock reading (see clock.Clock).
+    """
+
+    stamp: int
+    process: str
+    incarnation: str
+    sequence: int
+    name: str
+    subject: str = ''
+    detail: str = ''
+
+
+class Timeline:
+    """Keep the latest events of this process, oldest dropped first."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        process: ProcessName,
+        incarnation: Incarnation,
+    ) -> None:
+        """Take the clock that stamps and the names that sign events."""
+        self._clock = clock
+        self._process = process
+        self._incarnation = incarnation
+        self._events: deque[Event] = deque(maxlen=_KEPT_EVENTS)
+        self._sequence = 0
+
+    def add(self, name: str, subject: str = '', detail: str = '') -> None:
+        """Record an event now."""
+        self._sequence += 1
+        self._events.append(
+            Event(
+                self._clock.stamp(),
+                self._process,
+                self._incarnation,
+                self._sequence,
+                name,
+                subject,
+                detail,
+            ),
+        )
+
+    def after(self, sequence: int) -> list[Event]:
+        """Return the kept events above a sequence number."""
+        return [event for event in self._events if event.sequence > sequence]
+
+
+def merge_events(sources: Iterable[Iterable[Event]]) -> list[Event]:
+    """Return all events once each, causes before their effects."""
+    unique = {
+        (event.incarnation, event.sequence): event
+        for source in sources
+        for event in source
+    }
+    return sorted(
+        unique.values(),
+        key=lambda event: (event.stamp, event.process, event.sequence),
+    )
+
+
+_events_decoder = msgspec.json.Decoder(list[Event])
+
+
+def encode_events(events: list[Event]) -> bytes:
+    """Return events as a JSON list."""
+    return msgspec.json.encode(events)
+
+
+def decode_events(text: bytes) -> list[Event]:
+    """Return the events of a JSON list."""
+    return _events_decoder.decode(text)
--- /dev/null
+++ b/src/amaranthrail/types.py
@@ -0,0 +1,28 @@
+"""Define the ids and the aliases that the whole package shares."""
+
+from __future__ import annotations
+
+from typing import NewType
+
+OrganisationName = NewType('OrganisationName', str)
+ServiceName = NewType('ServiceName', str)
+UpstreamName = NewType('UpstreamName', str)
+DomainName = NewType('DomainName', str)
+GroupName = NewType('GroupName', str)
+ProcessName = NewType('ProcessName', str)
+
+#: Random identity of one run of one process; a restart makes a new one.
+Incarnation = NewType('Incarnation', str)
+#: ``<entry incarnation>-<sequence>``; unique over all entries and time.
+RequestId = NewType('RequestId', str)
+#: A caller's ``Idempotency-Key``, qualified by its organisation.
+FilingKey = NewType('FilingKey', str)
+#: Log offset at which the manifest in force was accepted; 0 is none.
+Version = NewType('Version', int)
+#: Position of a record in a stream of the log, from 1.
+Offset = NewType('Offset', int)
+#: A span or a point in time, in milliseconds.
+Millis = NewType('Millis', float)
+
+#: HTTP header fields in order of arrival, names in lower case.
+HeaderList = tuple[tuple[str, str], ...]
--- /dev/null
+++ b/standins/deployments.py
@@ -0,0 +1,126 @@
+"""Describe the two first users' deployments at their sizes of today."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass
+from types import MappingProxyType
+from typing import Any
+
+_ORGANISATIONS = 10
+_LARGE = 3
+_LARGE_WEIGHT = 4
+
+
+@dataclass(frozen=True)
+class Deployment:
+    """Hold one user's places, services and operations."""
+
+    name: str
+    region: str
+    domains: tuple[str, ...]
+    model: str
+    plain: str
+    operations: tuple[tuple[str, str, str, bool], ...]
+    replicas: int = 16
+    services: int = 3
+
+
+DEPLOYMENTS = MappingProxyType(
+    {
+        'valtrebbia': Deployment(
+            'valtrebbia',
+            'emilia-nord',
+            ('piacenza', 'bobbio', 'rivergaro'),
+            'redattore',
+            'sportello',
+            (
+                ('file-order', 'POST', '/sportello/orders', False),
+                ('order-status', 'GET', '/sportello/orders/{id}', True),
+            ),
+        ),
+        'dvorak': Deployment(
+            'dvorak',
+            'morava',
+            ('brno-a', 'brno-b', 'brno-c'),
+            'ladic',
+            'dilna',
+            (
+                ('book-slot', 'POST', '/dilna/bookings', False),
+                ('pay', 'POST', '/dilna/payments', False),
+                ('order-status', 'GET', '/dilna/orders/{id}', True),
+            ),
+        ),
+    }
+)
+
+
+def organisation_names() -> list[str]:
+    """Return the organisations' names."""
+    return [
+        f'organisation-{number:02}' for number in range(1, _ORGANISATIONS + 1)
+    ]
+
+
+def token_of(deployment: str, organisation: str) -> str:
+    """Return the caller's token of an organisation, for local use only."""
+    seed = f'local-only/{deployment}/{organisation}'.encode()
+    return hashlib.sha256(seed).hexdigest()[:32]
+
+
+def make_manifest(
+    deployment: Deployment,
+    policies: dict[str, Any] | None = None,
+    slots: int = 8,
+    token_ms: float = 6,
+) -> dict[str, Any]:
+    """Return a deployment's manifest."""
+    chosen = {'pick': 'affinity', 'token_ms': token_ms, **(policies or {})}
+    return {
+        'format': 1,
+        'deployment': deployment.name,
+        'failure_domains': [
+            {'name': domain, 'region': deployment.region}
+            for domain in deployment.domains
+        ],
+        'organisations': [
+            _organisation(deployment.name, name, index)
+            for index, name in enumerate(organisation_names())
+        ],
+        'services': [
+            {
+                'name': deployment.model,
+                'kind': 'model',
+                'models': [deployment.model],
+                'slots': slots,
+                'default_deadline_ms': 60_000,
+                'policies': chosen,
+            },
+            {
+                'name': deployment.plain,
+                'kind': 'plain',
+                'path_prefix': f'/{deployment.plain}/',
+                'slots': slots,
+                'operations': [
+                    {
+                        'name': name,
+                        'method': method,
+                        'path': path,
+                        'idempotent': idempotent,
+                        'deadline_ms': 5000,
+                    }
+                    for name, method, path, idempotent in deployment.operations
+                ],
+                'policies': {'pick': 'two_choices'},
+            },
+        ],
+    }
+
+
+def _organisation(deployment: str, name: str, index: int) -> dict[str, Any]:
+    digest = hashlib.sha256(token_of(deployment, name).encode()).hexdigest()
+    return {
+        'name': name,
+        'credentials': [f'sha256:{digest}'],
+        'weight': _LARGE_WEIGHT if index < _LARGE else 1,
+    }
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,471 @@
+"""Start a whole deployment as separate local processes.
+
+Run as ``python -m standins.fleet --deployment valtrebbia``. When all is ready
+one JSON line on standard output names every process; SIGINT or SIGTERM ends
+them all.
+"""
+
+from __future__ import annotations
+
+import argparse
+import contextlib
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from http import client
+from pathlib import Path
+from typing import Any
+
+from .calling import (
+    LOOPBACK,
+    Answer,
+    answers,
+    free_ports,
+    http_call,
+    wait_until,
+)
+from .child import Child
+from .deployments import (
+    DEPLOYMENTS,
+    Deployment,
+    make_manifest,
+    organisation_names,
+    token_of,
+)
+
+ADMIN_TOKEN = 'local-administration-token'
+PEER_KEY = 'local-peer-key-of-the-fleet'
+_END_TIMEOUT_S = 8.0
+_LOG_TAIL = 2000
+
+
+@dataclass
+class EntryProcess:
+    """Name an entry's addresses and process."""
+
+    name: str
+    url: str
+    admin: str
+    child: Child
+
+
+@dataclass
+class UpstreamProcess:
+    """Name an upstream, its sidecar and their processes."""
+
+    name: str
+    service: str
+    domain: str
+    url: str
+    sidecar_address: str
+    sidecar_admin: str
+    child: Child
+    sidecar: Child
+
+
+@dataclass
+class FleetPlan:
+    """Say how large a fleet is to be and how its processes are set."""
+
+    deployment: str = 'valtrebbia'
+    entries: int = 2
+    replicas: int | None = None
+    services: int | None = None
+    policies: dict[str, Any] = field(default_factory=dict)
+    entry_settings: dict[str, str] = field(default_factory=dict)
+    sidecar_settings: dict[str, str] = field(default_factory=dict)
+    engine_arguments: tuple[str, ...] = ()
+    slots: int = 8
+    token_ms: float = 6
+    publish: bool = True
+
+
+class Fleet:
+    """Own all processes of a local deployment."""
+
+    def __init__(self, plan: FleetPlan, folder: Path) -> None:
+        """Start the processes; ``folder`` takes their logs."""
+        self._plan = plan
+        self._folder = folder
+        self._deployment: Deployment = DEPLOYMENTS[plan.deployment]
+        self._platform_address = f'{LOOPBACK}:{free_ports(1)[0]}'
+        self._platform = self._child(
+            'platform',
+            ['standins.platform', self._platform_address],
+        )
+        self._upstreams = self._start_upstreams()
+        self._entries = self._start_entries()
+
+    @property
+    def deployment(self) -> Deployment:
+        """Return whose deployment this is."""
+        return self._deployment
+
+    @property
+    def platform(self) -> Child:
+        """Return the platform's process."""
+        return self._platform
+
+    @property
+    def platform_address(self) -> str:
+        """Return the platform's address."""
+        return self._platform_address
+
+    @property
+    def entries(self) -> list[EntryProcess]:
+        """Return the entries."""
+        return self._entries
+
+    @property
+    def upstreams(self) -> list[UpstreamProcess]:
+        """Return the upstreams with their sidecars."""
+        return self._upstreams
+
+    def of_service(self, service: str) -> list[UpstreamProcess]:
+        """Return the upstreams of one service."""
+        return [one for one in self._upstreams if one.service == service]
+
+    def find(self, name: str) -> UpstreamProcess:
+        """Return the upstream of a name."""
+        return next(one for one in self._upstreams if one.name == name)
+
+    def manifest(self) -> dict[str, Any]:
+        """Return the manifest that the fleet starts with."""
+        plan = self._plan
+        return make_manifest(
+            self._deployment,
+            plan.policies,
+            plan.slots,
+            plan.token_ms,
+        )
+
+    def token(self, number: int = 0) -> str:
+        """Return the caller's token of an organisation."""
+        return token_of(self._plan.deployment, organisation_names()[number])
+
+    def fault_platform(self, **faults: object) -> None:
+        """Set faults of the platform."""
+        http_call(self._platform_address, 'POST', '/control/faults', faults)
+
+    def list_hosts(self, leaving: tuple[str, ...] = ()) -> None:
+        """Tell the platform which hosts there are."""
+        hosts = [
+            {
+                'upstream': one.name,
+                'service': one.service,
+                'domain': one.domain,
+                'host': one.sidecar_address.split(':')[0],
+                'port': int(one.sidecar_address.split(':')[1]),
+                'state': 'leaving' if one.name in leaving else 'live',
+            }
+            for one in self._upstreams
+        ]
+        order = {'hosts': hosts}
+        http_call(self._platform_address, 'POST', '/control/hosts', order)
+
+    def publish(self, manifest: dict[str, Any], *flags: str) -> Answer:
+        """Publish a manifest with the command line, straight to the log."""
+        path = self._folder / 'manifest.json'
+        path.write_text(json.dumps(manifest))
+        found = self.command(
+            'manifest',
+            'publish',
+            str(path),
+            '--json',
+            '--log',
+            self._platform_address,
+            *flags,
+        )
+        return Answer(found.returncode, {}, found.stdout)
+
+    def command(self, *arguments: str) -> subprocess.CompletedProcess[bytes]:
+        """Run the product's command line against this fleet."""
+        admins = ','.join(entry.admin for entry in self._entries)
+        environment = {
+            **os.environ,
+            'AMARANTHRAIL_ADMIN': admins,
+            'AMARANTHRAIL_ADMIN_TOKEN': ADMIN_TOKEN,
+        }
+        return subprocess.run(
+            [sys.executable, '-m', 'amaranthrail', *arguments],
+            env=environment,
+            capture_output=True,
+            check=False,
+        )
+
+    def wait_ready(self) -> None:
+        """Publish the manifest and wait until all serve."""
+        wait_until(lambda: answers(self._platform_address, '/hosts'))
+        self.list_hosts()
+        if not self._plan.publish:
+            return
+        published = self.publish(self.manifest())
+        if published.status:
+            raise RuntimeError(f'not published: {published.body!r}')
+        for entry in self._entries:
+            self.wait_entry_ready(entry)
+
+    def failed_logs(self) -> str:
+        """Return the end of the log of each process that has ended badly."""
+        return '\n'.join(
+            child.log_text[-_LOG_TAIL:]
+            for child in self.children()
+            if child.exit_code
+        )
+
+    def wait_entry_ready(self, entry: EntryProcess) -> None:
+        """Wait until an entry serves with all sidecars connected."""
+        wait_until(lambda: self._all_connected(entry))
+
+    def status(self, entry: EntryProcess) -> Any:
+        """Return an entry's status, None while it does not answer."""
+        try:
+            answer = http_call(
+                entry.admin,
+                'GET',
+                '/v1/status',
+                headers={'Authorization': f'Bearer {ADMIN_TOKEN}'},
+                timeout=5,
+            )
+        except (OSError, client.HTTPException):
+            return None
+        return answer.json() if answer.status == 200 else None
+
+    def runs(self, service: str) -> list[dict[str, Any]]:
+        """Return all that truly ran at the upstreams of a service."""
+        return [
+            run
+            for one in self.of_service(service)
+            for run in http_call(one.url, 'GET', '/control/runs').json()
+        ]
+
+    def describe(self) -> dict[str, Any]:
+        """Return what a program needs to use and disturb the fleet."""
+        return {
+            'entries': [
+                {'url': one.url, 'admin': one.admin, 'pid': one.child.pid}
+                for one in self._entries
+            ],
+            'sidecars': [
+                {
+                    'service': one.service,
+                    'upstream': one.name,
+                    'pid': one.sidecar.pid,
+                    'address': one.sidecar_address,
+                }
+                for one in self._upstreams
+            ],
+            'upstreams': [
+                {
+                    'service': one.service,
+                    'upstream': one.name,
+                    'url': one.url,
+                    'pid': one.child.pid,
+                }
+                for one in self._upstreams
+            ],
+            'platform': {
+                'url': f'http://{self._platform_address}',
+                'pid': self._platform.pid,
+            },
+            'organisations': [
+                {'name': name, 'token': token_of(self._plan.deployment, name)}
+                for name in organisation_names()
+            ],
+            'admin_token': ADMIN_TOKEN,
+        }
+
+    def children(self) -> list[Child]:
+        """Return all processes, entries first and the platform last."""
+        return [
+            *(one.child for one in self._entries),
+            *(one.sidecar for one in self._upstreams),
+            *(one.child for one in self._upstreams),
+            self._platform,
+        ]
+
+    def close(self) -> None:
+        """End all processes."""
+        for child in self.children():
+            child.send(signal.SIGCONT)
+            child.send(signal.SIGTERM)
+        deadline = time.monotonic() + _END_TIMEOUT_S
+        for child in self.children():
+            child.wait(max(0.01, deadline - time.monotonic()))
+            child.kill()
+
+    def _all_connected(self, entry: EntryProcess) -> bool:
+        status = self.status(entry)
+        if not status or not status['ready']:
+            return False
+        serving = [one for one in status['upstreams'] if one['takes_work']]
+        return len(serving) == len(self._upstreams) and all(
+            one['manifest_version'] == status['manifest_version']
+            for one in serving
+        )
+
+    def _child(
+        self,
+        name: str,
+        arguments: list[str],
+        environment: dict[str, str] | None = None,
+    ) -> Child:
+        log_path = self._folder / f'{name}.log'
+        return Child(arguments, environment or {}, log_path)
+
+    def _start_upstreams(self) -> list[UpstreamProcess]:
+        plan = self._plan
+        deployment = self._deployment
+        replicas = (
+            deployment.replicas if plan.replicas is None else plan.replicas
+        )
+        services = (
+            deployment.services if plan.services is None else plan.services
+        )
+        names = [
+            *((deployment.model, number) for number in range(replicas)),
+            *((deployment.plain, number) for number in range(services)),
+        ]
+        ports = iter(free_ports(3 * len(names)))
+        return [
+            self._start_upstream(service, number, ports)
+            for service, number in names
+        ]
+
+    def _start_upstream(
+        self,
+        service: str,
+        number: int,
+        ports: Iterator[int],
+    ) -> UpstreamProcess:
+        name = f'{service}-{number}'
+        domains = self._deployment.domains
+        domain = domains[number % len(domains)]
+        address, peer, admin = (f'{LOOPBACK}:{next(ports)}' for _ in range(3))
+        arguments = ['standins.plain', address, name]
+        if service == self._deployment.model:
+            arguments = [
+                'standins.engine',
+                address,
+                name,
+                *self._plan.engine_arguments,
+            ]
+        settings = self._settings(f'sidecar-{name}', peer, admin, domain)
+        settings.update(
+            _environment(
+                service=service,
+                upstream=name,
+                upstream_address=address,
+                **self._plan.sidecar_settings,
+            ),
+        )
+        return UpstreamProcess(
+            name,
+            service,
+            domain,
+            f'http://{address}',
+            peer,
+            admin,
+            self._child(name, arguments),
+            self._child(
+                f'sidecar-{name}',
+                ['amaranthrail.daemon', 'sidecar'],
+                settings,
+            ),
+        )
+
+    def _start_entries(self) -> list[EntryProcess]:
+        ports = iter(free_ports(2 * self._plan.entries))
+        found = []
+        for number in range(self._plan.entries):
+            name = f'entry-{number}'
+            domains = self._deployment.domains
+            address, admin = (f'{LOOPBACK}:{next(ports)}' for _ in range(2))
+            domain = domains[number % len(domains)]
+            settings = self._settings(name, address, admin, domain)
+            settings.update(_environment(**self._plan.entry_settings))
+            child = self._child(
+                name, ['amaranthrail.daemon', 'entry'], settings
+            )
+            url = f'http://{address}'
+            found.append(EntryProcess(name, url, admin, child))
+        return found
+
+    def _settings(
+        self,
+        name: str,
+        listen: str,
+        admin: str,
+        domain: str,
+    ) -> dict[str, str]:
+        return _environment(
+            name=name,
+            listen=listen,
+            admin_listen=admin,
+            admin_token=ADMIN_TOKEN,
+            peer_key=PEER_KEY,
+            domain=domain,
+            platform=self._platform_address,
+        )
+
+
+def _environment(**settings: str) -> dict[str, str]:
+    return {
+        f'AMARANTHRAIL_{name.upper()}': setting
+        for name, setting in settings.items()
+    }
+
+
+@contextlib.contextmanager
+def running_fleet(plan: FleetPlan) -> Iterator[Fleet]:
+    """Give a fleet that is ready, and end it."""
+    with tempfile.TemporaryDirectory(prefix='amaranthrail-') as folder:
+        fleet = Fleet(plan, Path(folder))
+        try:
+            fleet.wait_ready()
+            yield fleet
+        except TimeoutError as error:
+            error.add_note(fleet.failed_logs())
+            raise
+        finally:
+            fleet.close()
+
+
+def main() -> None:
+    """Run a fleet until told to end."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        '--deployment',
+        choices=sorted(DEPLOYMENTS),
+        default='valtrebbia',
+    )
+    parser.add_argument('--entries', type=int, default=2)
+    parser.add_argument('--replicas', type=int)
+    parser.add_argument('--services', type=int)
+    given = parser.parse_args()
+    plan = FleetPlan(
+        given.deployment,
+        given.entries,
+        given.replicas,
+        given.services,
+    )
+    told = {signal.SIGINT, signal.SIGTERM}
+    signal.signal(signal.SIGTERM, _interrupt)
+    with contextlib.suppress(KeyboardInterrupt), running_fleet(plan) as fleet:
+        sys.stdout.write(f'{json.dumps(fleet.describe())}\n')
+        sys.stdout.flush()
+        signal.sigwait(told)
+
+
+def _interrupt(_number: int, _frame: object) -> None:
+    raise KeyboardInterrupt
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the product, alone and over real processes."""
