--- a/src/amaranthrail/adapters/httpserver.py
+++ b/src/amaranthrail/adapters/httpserver.py
@@ -23,6 +23,7 @@
 _MAX_PIPELINED_BYTES = 65_536
 _HTTP_TIMEOUT = 408
 _HTTP_TOO_LARGE = 413
+_HTTP_HEADERS_TOO_LARGE = 431
 _log = part_logger('http')
 
 _BROKEN = (
@@ -207,6 +208,9 @@
             head = await self.next_event()
         if not isinstance(head, h11.Request):
             return None
+        # The parser bounds only heads that arrive in more than one piece.
+        if sum(map(_field_length, head.headers)) > MAX_HEADER_BYTES:
+            return _HTTP_HEADERS_TOO_LARGE
         with move_on_after(BODY_TIMEOUT_MS):
             return await self._read_body(head)
         return _HTTP_TIMEOUT
@@ -262,6 +266,10 @@
         )
 
 
+def _field_length(field: tuple[bytes, bytes]) -> int:
+    return len(field[0]) + len(field[1])
+
+
 async def serve_connection(
     stream: trio.abc.Stream,
     handler: Handler,
--- a/src/amaranthrail/entry/filings.py
+++ b/src/amaranthrail/entry/filings.py
@@ -291,7 +291,8 @@
         target = Target(intent.incarnation, version, intent.id)
         clock = self._runtime.clock
         exchange = peer.dispatch(partial(make_dispatch, call, clock, target))
-        self._runtime.timeline.add('filing-dispatched', intent.id, peer.name)
+        where = f'{intent.key} to {peer.name}'
+        self._runtime.timeline.add('filing-dispatched', intent.id, where)
         answer = await self._collect(
             peer, exchange, self._conclusions.left_ms(intent)
         )
@@ -345,7 +346,7 @@
         self._conclusions.lost(intent, 'sidecar gone')
         _log.warning('filing lost', key=intent.key, upstream=intent.upstream)
         return unknown(
-            Reason.KEY_LOST,
+            Reason.PEER_GONE,
             f'{intent.upstream} ended before it told the outcome',
         )
 
--- /dev/null
+++ b/tests/raw.py
@@ -0,0 +1,37 @@
+"""Speak bytes to a server, well formed or not."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+
+from standins.fleet import EntryProcess
+
+_TIMEOUT_S = 10
+
+
+def exchange(
+    entry: EntryProcess, payload: bytes, *, close: bool = False
+) -> bytes:
+    """Send bytes and return all that comes until the server closes or idles."""
+    return exchange_at(entry.url.removeprefix('http://'), payload, close=close)
+
+
+def exchange_at(address: str, payload: bytes, *, close: bool = False) -> bytes:
+    """Send bytes to an address; ``close`` ends our side first."""
+    host, _, port = address.partition(':')
+    connection = socket.create_connection((host, int(port)), _TIMEOUT_S)
+    with contextlib.closing(connection):
+        connection.sendall(payload)
+        if close:
+            connection.shutdown(socket.SHUT_WR)
+        return read_all(connection)
+
+
+def read_all(connection: socket.socket) -> bytes:
+    """Return bytes until the other side closes."""
+    received = b''
+    with contextlib.suppress(ConnectionError):
+        while chunk := connection.recv(65536):
+            received += chunk
+    return received
--- /dev/null
+++ b/tests/test_records.py
@@ -0,0 +1,72 @@
+"""Decode any log record to a record or to nothing."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from amaranthrail.records import (
+    Conclusion,
+    FilingBatch,
+    FilingState,
+    Intent,
+    Record,
+    decode_record,
+    encode_record,
+)
+
+fuzz = settings(derandomize=True, max_examples=300, deadline=None)
+_json = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=10),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=4)
+    ),
+    max_leaves=10,
+)
+_types = st.sampled_from(
+    ['manifest-change', 'manifest-snapshot', 'drain', 'filings', 'other'],
+)
+_facts = st.from_type(Intent) | st.from_type(Conclusion)
+
+
+@fuzz
+@given(st.binary(max_size=200))
+def test_bytes_give_a_record_or_none(text: bytes) -> None:
+    assert isinstance(decode_record(text), Record | None)
+
+
+@fuzz
+@given(_types, st.dictionaries(st.text(max_size=8), _json, max_size=5))
+def test_wrong_fields_give_a_record_or_none(
+    kind: str,
+    fields: dict[str, object],
+) -> None:
+    text = json.dumps({**fields, 'type': kind, 'id': 'x'}).encode()
+    assert isinstance(decode_record(text), Record | None)
+
+
+@fuzz
+@given(st.lists(_facts, max_size=4))
+def test_filings_survive(facts: list[Intent | Conclusion]) -> None:
+    batch = FilingBatch(id='one', facts=tuple(facts))
+    assert decode_record(encode_record(batch)) == batch
+
+
+@pytest.mark.parametrize('depth', [10, 100_000])
+def test_deep_nesting_gives_none(depth: int) -> None:
+    assert decode_record(b'[' * depth) is None
+
+
+def test_conclusion_keeps_bytes() -> None:
+    fact = Conclusion(
+        key='k',
+        intent='i',
+        state=FilingState.RAN,
+        body=bytes(range(256)),
+    )
+    batch = FilingBatch(id='one', facts=(fact,))
+    assert decode_record(encode_record(batch)) == batch
--- /dev/null
+++ b/tests/test_tls.py
@@ -0,0 +1,90 @@
+"""Speak TLS to callers and mutual TLS between peers."""
+
+from __future__ import annotations
+
+import ssl
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+import trustme
+from trio import run
+
+from amaranthrail.adapters.httpclient import HttpClient, parse_address
+from standins.calling import http_call
+from standins.fleet import Fleet, FleetPlan, running_fleet
+
+from .client import auth
+from .raw import exchange_at
+
+
+@pytest.fixture(scope='module')
+def authority() -> trustme.CA:
+    return trustme.CA()
+
+
+@pytest.fixture(scope='module')
+def secured(
+    authority: trustme.CA,
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[Fleet]:
+    folder = tmp_path_factory.mktemp('certificates')
+    peers = trustme.CA()
+    peer_files = _write(folder, 'peer', peers)
+    caller_files = _write(folder, 'caller', authority)
+    peer_settings = {
+        'peer_certificate': str(peer_files[0]),
+        'peer_private_key': str(peer_files[1]),
+        'peer_authority': str(peer_files[2]),
+    }
+    plan = FleetPlan(
+        entries=1,
+        replicas=1,
+        services=1,
+        entry_settings={
+            **peer_settings,
+            'caller_certificate': str(caller_files[0]),
+            'caller_private_key': str(caller_files[1]),
+        },
+        sidecar_settings=peer_settings,
+    )
+    with running_fleet(plan) as fleet:
+        yield fleet
+
+
+def _write(folder: Path, name: str, authority: trustme.CA) -> list[Path]:
+    issued = authority.issue_cert('127.0.0.1')
+    paths = [folder / f'{name}-{part}.pem' for part in ('cert', 'key', 'ca')]
+    issued.cert_chain_pems[0].write_to_path(paths[0])
+    issued.private_key_pem.write_to_path(paths[1])
+    authority.cert_pem.write_to_path(paths[2])
+    return paths
+
+
+def test_caller_is_served_over_tls(
+    secured: Fleet,
+    authority: trustme.CA,
+) -> None:
+    context = ssl.create_default_context()
+    authority.configure_trust(context)
+    address = parse_address(secured.entries[0].url)
+    client = HttpClient(address, context)
+    headers = tuple(
+        (name.lower(), text) for name, text in auth(secured).items()
+    )
+
+    async def ask() -> int:
+        target = '/sportello/orders/1'
+        return (await client.call('GET', target, headers)).status
+
+    assert run(ask) == 200
+
+
+def test_plain_text_is_not_served(secured: Fleet) -> None:
+    with pytest.raises(OSError, match=r'.'):
+        http_call(secured.entries[0].url, 'GET', '/healthz', timeout=5)
+
+
+def test_peer_without_certificate_gets_no_challenge(secured: Fleet) -> None:
+    received = exchange_at(secured.upstreams[0].sidecar_address, b'\x00' * 64)
+    assert b'challenge' not in received
