Prove the promises under failure; measure; try to refuse rather than queue

Cause: the path was served, but nothing had shown what holds when processes die, pause or lose each other, and no policy had been compared with a baseline. Load is now our own work exactly plus that of others as told. Found by the tests: a filing waited 2.5 s for a slow log although its deadline left more; 4 s now, still under what a sidecar remembers of a void. Ruled out as measured here: a dispatch that a busy sidecar refuses so that the entry tries another replica, and taking the least wait of all replicas instead of the better of two.

--- a/src/amaranthrail/adapters/platform.py
+++ b/src/amaranthrail/adapters/platform.py
@@ -44,6 +44,8 @@
     host: str
     port: int
     state: str
+    group: str = ''
+    rank: int = -1
 
 
 class HttpLog:
@@ -120,6 +122,8 @@
         wire.host,
         wire.port,
         HostState(wire.state),
+        wire.group,
+        wire.rank,
     )
 
 
--- a/src/amaranthrail/entry/administration.py
+++ b/src/amaranthrail/entry/administration.py
@@ -292,7 +292,7 @@
         'leaving': load is not None and load.leaving,
         'queued': 0 if load is None else load.queued,
         'running': 0 if load is None else load.running,
-        'work_ms': 0 if load is None else load.work_ms,
+        'work_ms': 0 if load is None else load.short_ms + load.long_ms,
         'manifest_version': 0 if load is None else load.manifest,
     }
 
--- a/src/amaranthrail/entry/call.py
+++ b/src/amaranthrail/entry/call.py
@@ -70,6 +70,7 @@
     incarnation: str
     manifest: int
     intent: str = ''
+    at_once: bool = False
 
 
 def make_dispatch(
@@ -95,6 +96,7 @@
         cost_ms=call.size.cost_ms,
         long=call.size.long,
         intent=target.intent,
+        at_once=target.at_once,
     )
 
 
--- a/src/amaranthrail/entry/core.py
+++ b/src/amaranthrail/entry/core.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from ..configuration import InForce
@@ -15,7 +14,6 @@
 from ..runtime import Runtime
 from ..settings import EntrySettings
 from .call import Call
-from .exchange import Exchange
 from .peers import Peer
 from .roster import Roster
 from .routes import RouteTable
@@ -37,6 +35,14 @@
     max_body_bytes: int = 1_048_576
 
 
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """Hold the peer that a call goes to and its expected wait there."""
+
+    peer: Peer
+    wait_ms: float
+
+
 class EntryCore:
     """Own what is common to all calls of one entry."""
 
@@ -119,7 +125,7 @@
         excluded: frozenset[str],
         *,
         admitted: bool = False,
-    ) -> Peer | Refusal:
+    ) -> Choice | Refusal:
         """Return the peer that a call goes to, or why it is refused now.
 
         ``excluded`` peers are used only when nobody else is there; a call
@@ -135,13 +141,16 @@
                 _NO_REPLICA_RETRY_MS,
             )
         by_name = {peer.name: peer for peer in peers}
-        candidates = [peer.candidate() for peer in peers]
+        share = service.policies.long_share
+        candidates = [
+            peer.candidate(share, long=call.size.long) for peer in peers
+        ]
         picked = self._picker(service)(candidates, call.size.prefix)
         if service.policies.admission is AdmissionPolicy.DEADLINE:
-            refusal = self._admit(call, picked.work_ms, admitted=admitted)
+            refusal = self._admit(call, picked.wait_ms, admitted=admitted)
             if refusal is not None:
                 return refusal
-        return by_name[picked.name]
+        return Choice(by_name[picked.name], picked.wait_ms)
 
     def _admit(
         self,
@@ -179,7 +188,3 @@
         self._runtime.timeline.add('manifest-in-force', str(in_force.version))
         for peer in self._roster.peers:
             peer.push_configuration()
-
-
-#: Opens an exchange for a call at a peer.
-Opener = Callable[[Peer], Exchange]
--- a/src/amaranthrail/entry/filings.py
+++ b/src/amaranthrail/entry/filings.py
@@ -26,9 +26,10 @@
 #: How long another entry's intent is left alone before its sidecar is asked.
 ATTACH_WAIT_MS = 1000.0
 #: How long an intent may take to appear in the log.
-RECORD_WAIT_MS = 2500.0
-#: An intent claimed later than this after it was made is not dispatched.
-MAX_CLAIM_MS = 3000.0
+RECORD_WAIT_MS = 4000.0
+#: An intent claimed later than this after it was made is not dispatched. A
+#: sidecar remembers a void for longer than that (gate.VOID_KEPT_MS).
+MAX_CLAIM_MS = 4500.0
 MAX_ATTEMPTS = 3
 _SWEEP_MS = 500.0
 _ASK_AGAIN_MS = 100.0
@@ -211,9 +212,10 @@
         call: Call,
         digest: str,
     ) -> Answer:
-        peer = self._core.choose(call, frozenset())
-        if isinstance(peer, Refusal):
-            return peer
+        chosen = self._core.choose(call, frozenset())
+        if isinstance(chosen, Refusal):
+            return chosen
+        peer = chosen.peer
         if not self._core.shards.reachable:
             return not_run(
                 Reason.LOG_UNAVAILABLE,
--- /dev/null
+++ b/src/amaranthrail/entry/load.py
@@ -0,0 +1,46 @@
+"""Track the work at one replica: our own exactly, that of others as told."""
+
+from __future__ import annotations
+
+from ..frames import Dispatch, Heartbeat
+from ..policy.loads import NO_WORK, ReplicaLoad, Work, expected_wait
+from ..policy.pick import Candidate
+
+
+class LoadTracker:
+    """Hold what is queued and running at one replica, short and long."""
+
+    def __init__(self, name: str) -> None:
+        """Take the replica's name."""
+        self._name = name
+        self._slots = 1
+        self._own = {False: NO_WORK, True: NO_WORK}
+        self._others = {False: NO_WORK, True: NO_WORK}
+
+    def hear(self, told: Heartbeat) -> None:
+        """Keep what others have there: what is told beyond what we sent."""
+        self._slots = told.slots
+        short = Work(told.short_count, told.short_ms)
+        long = Work(told.long_count, told.long_ms)
+        self._others[False] = short.beyond(self._own[False])
+        self._others[True] = long.beyond(self._own[True])
+
+    def begin(self, sent: Dispatch) -> None:
+        """Count our own work in."""
+        work = Work(1, sent.cost_ms)
+        self._own[sent.long] = self._own[sent.long].plus(work)
+
+    def end(self, sent: Dispatch) -> None:
+        """Count our own work out."""
+        work = Work(1, sent.cost_ms)
+        self._own[sent.long] = self._own[sent.long].beyond(work)
+
+    def candidate(self, long_share: float, *, long: bool) -> Candidate:
+        """Return the expected wait of new work there."""
+        load = ReplicaLoad(
+            self._others[False].plus(self._own[False]),
+            self._others[True].plus(self._own[True]),
+            self._slots,
+        )
+        wait_ms = expected_wait(load, long_share, long=long)
+        return Candidate(self._name, wait_ms, load.busy)
--- a/src/amaranthrail/entry/peers.py
+++ b/src/amaranthrail/entry/peers.py
@@ -49,6 +49,7 @@
 from ..types import Incarnation, RequestId
 from .exchange import Exchange
 from .inflight import InFlight
+from .load import LoadTracker
 
 _RECONNECT_MS = 100
 _MAX_RECONNECT_MS = 1000
@@ -94,7 +95,7 @@
         self._link: Link | None = None
         self._incarnation: Incarnation | None = None
         self._load: Heartbeat | None = None
-        self._sent_ms = 0.0
+        self._tracker = LoadTracker(record.upstream)
         self._in_flight = InFlight(self._runtime.metrics)
         self._scope = trio.CancelScope()
         self._refused = False
@@ -154,15 +155,9 @@
         if moved:
             self._scope.cancel()
 
-    def candidate(self) -> Candidate:
+    def candidate(self, long_share: float, *, long: bool) -> Candidate:
         """Return the expected wait there, own fresh work included."""
-        load = self._load
-        if load is None:
-            return Candidate(self.name, 0)
-        return Candidate(
-            self.name,
-            load.work_ms + self._sent_ms / max(1, load.slots),
-        )
+        return self._tracker.candidate(long_share, long=long)
 
     def dispatch(
         self, make: Callable[[RequestId, float], Dispatch]
@@ -172,7 +167,7 @@
         clock = 0.0 if self._load is None else self._load.clock
         opening = make(request, clock)
         exchange = Exchange(request, opening)
-        self._sent_ms += opening.cost_ms
+        self._tracker.begin(opening)
         self._open(exchange)
         return exchange
 
@@ -187,6 +182,9 @@
     def close(self, exchange: Exchange, *, cancel: bool) -> None:
         """Forget an exchange; ``cancel`` stops its work too."""
         self._in_flight.remove(exchange)
+        opening = exchange.opening
+        if isinstance(opening, Dispatch):
+            self._tracker.end(opening)
         if self._link is None:
             return
         if cancel and not exchange.ended:
@@ -328,7 +326,7 @@
             case Heartbeat():
                 self._runtime.clock.receive(frame.stamp)
                 self._load = frame
-                self._sent_ms = 0
+                self._tracker.hear(frame)
                 compare_versions(link, self._runtime.configuration, frame)
             case ManifestPush():
                 take_push(self._runtime, frame)
--- a/src/amaranthrail/frames.py
+++ b/src/amaranthrail/frames.py
@@ -48,8 +48,9 @@
 class Heartbeat(Frame, frozen=True, tag='heartbeat'):
     """Tell liveness, the manifest version in force and, of a sidecar, load.
 
-    ``clock`` is the sender's monotonic milliseconds, ``work_ms`` the expected
-    time to finish all work queued and running divided by the slots.
+    ``clock`` is the sender's monotonic milliseconds. Short and long work,
+    queued and running, are given as their number and their expected time
+    left in a slot, in milliseconds.
     """
 
     stamp: int
@@ -58,7 +59,10 @@
     drains: int
     queued: int = 0
     running: int = 0
-    work_ms: float = 0
+    short_count: int = 0
+    short_ms: float = 0
+    long_count: int = 0
+    long_ms: float = 0
     slots: int = 0
     leaving: bool = False
 
@@ -68,7 +72,8 @@
 
     ``clock`` is the sidecar's own clock of its latest heartbeat; ``left_ms``
     the time to the caller's deadline. ``intent`` names the attempt of work that
-    must not repeat; it is empty for idempotent work.
+    must not repeat; it is empty for idempotent work. With ``at_once`` the
+    sidecar refuses rather than let the work wait for a slot.
     """
 
     request: str
@@ -85,6 +90,7 @@
     cost_ms: float
     long: bool = False
     intent: str = ''
+    at_once: bool = False
 
 
 class Head(Frame, frozen=True, tag='head'):
@@ -189,8 +195,15 @@
     payload: bytes
 
 
-class GroupOrder(Frame, frozen=True, tag='group'):
-    """Carry one message of an expert-map change between sidecars."""
+class GroupOrder(Frame, frozen=True, tag='order'):
+    """Carry an order about the expert map to a rank (see orders)."""
+
+    request: str
+    payload: bytes
+
+
+class GroupReply(Frame, frozen=True, tag='reply'):
+    """Carry a rank's reply to an order."""
 
     request: str
     payload: bytes
@@ -216,6 +229,7 @@
     | EventsAsk
     | Events
     | GroupOrder
+    | GroupReply
 )
 
 #: What the two decoders raise on bytes that are no frame.
--- a/src/amaranthrail/outcomes.py
+++ b/src/amaranthrail/outcomes.py
@@ -32,6 +32,7 @@
     LOG_UNAVAILABLE = 'log-unavailable'
     SHUTTING_DOWN = 'shutting-down'
     DRAINING = 'draining'
+    BUSY = 'busy'
     EXPIRED = 'expired'
     WRONG_INCARNATION = 'wrong-incarnation'
     STALE_DISPATCH = 'stale-dispatch'
--- a/src/amaranthrail/policy/pick.py
+++ b/src/amaranthrail/policy/pick.py
@@ -21,11 +21,13 @@
 class Candidate:
     """Describe one replica that could take a request.
 
-    ``work_ms`` is the expected time until a request queued now would start.
+    ``wait_ms`` is the expected time until the request would start there,
+    ``busy_ms`` the time to finish all that is there, over all its slots.
     """
 
     name: str
-    work_ms: float
+    wait_ms: float
+    busy_ms: float = 0
 
 
 Picker = Callable[[Sequence[Candidate], str], Candidate]
@@ -41,9 +43,19 @@
         return _round_robin()
     if policy is PickPolicy.AFFINITY:
         return _affinity(source)
+    if policy is PickPolicy.LEAST_WAIT:
+        return _least_wait(source)
     return _two_choices(source)
 
 
+def _least_wait(source: random.Random) -> Picker:
+    def pick(candidates: Sequence[Candidate], _prefix: str) -> Candidate:
+        shuffled = source.sample(candidates, len(candidates))
+        return min(shuffled, key=_work_of)
+
+    return pick
+
+
 def _round_robin() -> Picker:
     turns = itertools.count()
 
@@ -69,16 +81,22 @@
     def pick(candidates: Sequence[Candidate], prefix: str) -> Candidate:
         if not prefix:
             return spread(candidates, prefix)
-        mean = sum(map(_work_of, candidates)) / len(candidates)
+        mean = sum(one.busy_ms for one in candidates) / len(candidates)
         bound = AFFINITY_LOAD_BOUND * mean + AFFINITY_SLACK_MS
-        fitting = [one for one in candidates if one.work_ms <= bound]
+        fitting = [
+            one
+            for one in candidates
+            if not one.wait_ms and one.busy_ms <= bound
+        ]
+        if not fitting:
+            return spread(candidates, prefix)
         return max(fitting, key=lambda one: rendezvous(prefix, one.name))
 
     return pick
 
 
-def _work_of(candidate: Candidate) -> float:
-    return candidate.work_ms
+def _work_of(candidate: Candidate) -> tuple[float, float]:
+    return candidate.wait_ms, candidate.busy_ms
 
 
 def rendezvous(subject: str, node: str) -> int:
--- a/src/amaranthrail/ports.py
+++ b/src/amaranthrail/ports.py
@@ -63,6 +63,8 @@
     host: str
     port: int
     state: HostState
+    group: str = ''
+    rank: int = -1
 
 
 class HostListPort(Protocol):
@@ -70,3 +72,50 @@
 
     async def hosts(self) -> tuple[HostRecord, ...] | None:
         """Return all listed hosts, or None while the list cannot be had."""
+
+
+@dataclass(frozen=True, slots=True)
+class EngineState:
+    """Hold what a rank's engine uses, is armed with and has measured.
+
+    ``loads`` has one number an expert that this rank holds, 0 for the others.
+    """
+
+    step: int
+    version: int
+    ranks: tuple[int, ...]
+    armed: int = 0
+    armed_ranks: tuple[int, ...] = ()
+    confirmed: bool = False
+    joining: bool = False
+    loads: tuple[float, ...] = ()
+    speed: float = 1
+
+
+class RankEnginePort(Protocol):
+    """Order one rank's engine; ``fence`` grows with every coordinator."""
+
+    async def state(self) -> EngineState | None:
+        """Return the engine's state, None where it does not answer."""
+
+    async def arm(
+        self,
+        fence: int,
+        version: int,
+        from_step: int,
+        ranks: tuple[int, ...],
+    ) -> bool:
+        """Arm a map; tell whether the engine will hold at that step."""
+
+    async def release(self, fence: int, version: int) -> bool:
+        """Let an armed map come into use."""
+
+    async def cancel(self, fence: int, version: int) -> bool:
+        """Drop an armed map."""
+
+
+class WeightStorePort(Protocol):
+    """Fetch weights, at the rate that the store allows."""
+
+    async def fetch(self, expert: int) -> bool:
+        """Fetch one expert's weights; tell whether they came."""
--- a/src/amaranthrail/settings.py
+++ b/src/amaranthrail/settings.py
@@ -208,12 +208,27 @@
         Field(ge=1, le=4096),
         Doc('requests it runs at a time until a manifest says otherwise'),
     ] = 8
+    group: Annotated[
+        str,
+        Doc('group of ranks that the upstream belongs to, empty for none'),
+    ] = ''
+    rank: Annotated[
+        int,
+        Field(ge=-1, le=1023),
+        Doc('rank of the upstream in its group'),
+    ] = -1
     shutdown_ms: Annotated[
         int,
         Field(ge=0, le=3_600_000),
         Doc('longest wait for the last answer at shutdown'),
     ] = 600_000
 
+    @model_validator(mode='after')
+    def _group_and_rank_go_together(self) -> SidecarSettings:
+        if bool(self.group) != (self.rank >= 0):
+            raise ValueError('group: give group and rank together')
+        return self
+
     @model_validator(mode='after')
     def _peer_port_is_guarded(self) -> SidecarSettings:
         if self.peer_tls is None and not is_loopback(self.listen.host):
--- a/src/amaranthrail/sidecar/peers.py
+++ b/src/amaranthrail/sidecar/peers.py
@@ -18,6 +18,7 @@
     Events,
     EventsAsk,
     GroupOrder,
+    GroupReply,
     Heartbeat,
     Hello,
     Inquire,
@@ -28,6 +29,7 @@
     Welcome,
 )
 from ..logs import part_logger
+from ..orders import decode_order, encode_order
 from ..outcomes import Reason, Refusal
 from ..runtime import Runtime
 from ..settings import SidecarSettings
@@ -35,6 +37,7 @@
 from ..timeline import encode_events
 from ..types import RequestId
 from .gate import Gate
+from .rank import Rank
 from .run import NOTHING_SENT, Progress, Run
 from .slots import Slots
 from .worker import Worker
@@ -52,6 +55,7 @@
     slots: Slots
     worker: Worker
     runs: trio.Nursery
+    rank: Rank | None = None
 
 
 class Connections:
@@ -154,6 +158,8 @@
     def _heartbeat(self) -> Heartbeat:
         configuration = self._runtime.configuration
         slots = self._office.slots
+        short = slots.work(long=False)
+        long = slots.work(long=True)
         return Heartbeat(
             self._runtime.clock.stamp(),
             self._runtime.clock.now(),
@@ -161,7 +167,10 @@
             configuration.drains_version,
             slots.queued,
             slots.running,
-            slots.work_ms(),
+            short.count,
+            short.cost_ms,
+            long.count,
+            long.cost_ms,
             slots.count,
             self._office.gate.leaving,
         )
@@ -190,10 +199,18 @@
                 events = self._runtime.timeline.after(frame.after)
                 self._link.post(Events(frame.request, encode_events(events)))
             case GroupOrder():
-                self._runtime.metrics.count('group_orders_unexpected')
+                nursery.start_soon(self._take_order, frame)
             case _:
                 raise FrameError(f'unexpected {type(frame).__name__}')
 
+    async def _take_order(self, frame: GroupOrder) -> None:
+        rank = self._office.rank
+        if rank is None:
+            self._runtime.metrics.count('group_orders_unexpected')
+            return
+        reply = await rank.take(decode_order(frame.payload))
+        self._link.post(GroupReply(frame.request, encode_order(reply)))
+
     def _take_question(
         self,
         frame: Resume | Inquire | Cancel,
@@ -234,12 +251,21 @@
                 self._link.post(push_frame(self._runtime.configuration))
             self._refuse(dispatch.request, found.reason, found.detail)
             return
+        is_new = found is None
+        if is_new and dispatch.at_once and not self._has_room(dispatch):
+            self._office.gate.void(dispatch.request)
+            self.announce()
+            self._refuse(dispatch.request, Reason.BUSY, 'no slot is free')
+            return
         if found is None:
             found = Run(dispatch, self._runtime.clock.now())
             self._office.gate.enter(found)
             self._office.runs.start_soon(self._office.worker.run, found)
         self._answer(dispatch.request, found, nursery)
 
+    def _has_room(self, dispatch: Dispatch) -> bool:
+        return self._office.slots.has_room(long=dispatch.long)
+
     def _answer(
         self,
         request: str,
--- /dev/null
+++ b/src/amaranthrail/sidecar/ranklink.py
@@ -0,0 +1,152 @@
+"""Keep a connection to the sidecar of another rank and send it orders."""
+
+from __future__ import annotations
+
+import itertools
+import ssl
+from dataclasses import dataclass
+
+import trio
+
+from ..adapters.dial import dial
+from ..adapters.httpclient import Address
+from ..adapters.link import HANDSHAKE_TIMEOUT_S, Link, LinkClosedError, greet
+from ..clock import move_on_after, sleep
+from ..exceptions import FrameError
+from ..frames import (
+    AnyFrame,
+    GroupOrder,
+    GroupReply,
+    Heartbeat,
+    Hello,
+    ManifestPull,
+    ManifestPush,
+)
+from ..orders import AnyOrder, AnyReply, decode_reply, encode_order
+from ..runtime import Runtime
+from ..settings import SidecarSettings
+from ..spread import compare_versions, push_frame, take_push
+
+ORDER_TIMEOUT_MS = 1500.0
+_RECONNECT_MS = 200.0
+#: Orders may wait for weights, which come at the store's rate.
+PREPARE_TIMEOUT_MS = 60_000.0
+_connection_numbers = itertools.count(1)
+
+
+@dataclass(slots=True)
+class _Waiter:
+    arrived: trio.Event
+    reply: AnyReply | None = None
+
+
+class RankLink:
+    """Send orders to one rank's sidecar."""
+
+    def __init__(
+        self,
+        address: Address,
+        runtime: Runtime,
+        settings: SidecarSettings,
+        tls: ssl.SSLContext | None,
+    ) -> None:
+        """Take where the other sidecar listens."""
+        self._address = address
+        self._runtime = runtime
+        self._settings = settings
+        self._tls = tls
+        self._link: Link | None = None
+        self._waiters: dict[str, _Waiter] = {}
+        self._requests = itertools.count(1)
+
+    @property
+    def address(self) -> Address:
+        """Return where the other sidecar listens."""
+        return self._address
+
+    async def order(
+        self,
+        order: AnyOrder,
+        timeout_ms: float,
+    ) -> AnyReply | None:
+        """Return the reply to an order, None if there is none in time."""
+        if self._link is None:
+            return None
+        request = str(next(self._requests))
+        waiter = _Waiter(trio.Event())
+        self._waiters[request] = waiter
+        self._link.post(GroupOrder(request, encode_order(order)))
+        with move_on_after(timeout_ms):
+            await waiter.arrived.wait()
+        del self._waiters[request]
+        return waiter.reply
+
+    async def run(self) -> None:
+        """Stay connected until cancelled."""
+        while True:
+            try:
+                stream = await dial(self._address, self._tls)
+            except (OSError, trio.TooSlowError, trio.BrokenResourceError):
+                await sleep(_RECONNECT_MS)
+                continue
+            try:
+                await self._serve(Link(stream, self._runtime.clock))
+            except* (LinkClosedError, FrameError, trio.TooSlowError):
+                self._runtime.metrics.count('rank_connections_ended')
+            finally:
+                self._drop()
+                await trio.aclose_forcefully(stream)
+            await sleep(_RECONNECT_MS)
+
+    async def _serve(self, link: Link) -> None:
+        hello = Hello(
+            b'',
+            b'',
+            self._runtime.process,
+            self._runtime.incarnation,
+            next(_connection_numbers),
+        )
+        with trio.fail_after(HANDSHAKE_TIMEOUT_S):
+            await greet(link, self._settings.peer_key.encode(), hello)
+        self._link = link
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(link.run_writer)
+            nursery.start_soon(link.watch_silence, self._settings.silence_ms)
+            nursery.start_soon(self._beat, link)
+            while True:
+                self._take(link, await link.receive())
+
+    async def _beat(self, link: Link) -> None:
+        configuration = self._runtime.configuration
+        while True:
+            link.post(
+                Heartbeat(
+                    self._runtime.clock.stamp(),
+                    self._runtime.clock.now(),
+                    configuration.version,
+                    configuration.drains_version,
+                ),
+            )
+            await sleep(self._settings.heartbeat_ms)
+
+    def _take(self, link: Link, frame: AnyFrame) -> None:
+        match frame:
+            case GroupReply():
+                waiter = self._waiters.get(frame.request)
+                if waiter is not None:
+                    waiter.reply = decode_reply(frame.payload)
+                    waiter.arrived.set()
+            case Heartbeat():
+                self._runtime.clock.receive(frame.stamp)
+                compare_versions(link, self._runtime.configuration, frame)
+            case ManifestPush():
+                take_push(self._runtime, frame)
+            case ManifestPull():
+                link.post(push_frame(self._runtime.configuration))
+            case _:
+                raise FrameError(f'unexpected {type(frame).__name__}')
+
+    def _drop(self) -> None:
+        self._link = None
+        for waiter in self._waiters.values():
+            waiter.arrived.set()
--- a/src/amaranthrail/sidecar/service.py
+++ b/src/amaranthrail/sidecar/service.py
@@ -15,17 +15,21 @@
 )
 from ..adapters.link import Link
 from ..adapters.listen import open_listeners, secured
+from ..adapters.platform import HttpHostList
 from ..adapters.problem import send_json
+from ..adapters.rankengine import HttpRankEngine, HttpWeightStore
 from ..clock import move_on_after, sleep
 from ..configuration import InForce
 from ..logs import part_logger
 from ..manifest import Policies
 from ..runtime import Runtime
 from ..settings import SidecarSettings
-from ..tls import server_context
+from ..tls import client_context, server_context
 from ..types import DomainName, ProcessName
 from .gate import Gate
+from .group import GroupMember
 from .peers import Connections, Office, PeerConnection
+from .rank import Rank
 from .slots import Slots
 from .worker import Worker
 
@@ -63,6 +67,7 @@
         )
         self._connections = Connections()
         self._peers: set[PeerConnection] = set()
+        self._group = self._make_group()
         self._stopping = trio.Event()
         self._runtime.configuration.on_change(self._configure)
 
@@ -93,6 +98,8 @@
             nursery.start_soon(self._listen_peers, peer_listeners, office)
             nursery.start_soon(self._listen_admin, admin)
             nursery.start_soon(self._sweep)
+            if self._group is not None:
+                nursery.start_soon(self._group.run)
             task_status.started(peer_listeners[0].socket.getsockname()[1])
             await self._stopping.wait()
             await self._leave()
@@ -107,6 +114,27 @@
             self._slots,
             self._worker,
             runs,
+            None if self._group is None else self._group.rank,
+        )
+
+    def _make_group(self) -> GroupMember | None:
+        settings = self._settings
+        if not settings.group:
+            return None
+        rank = Rank(
+            settings.rank,
+            self._runtime.incarnation,
+            HttpRankEngine(settings.upstream_address),
+            HttpWeightStore(settings.platform, settings.group),
+            self._runtime.clock,
+        )
+        files = settings.peer_tls
+        return GroupMember(
+            rank,
+            self._runtime,
+            settings,
+            HttpHostList(settings.platform),
+            None if files is None else client_context(files),
         )
 
     def _configure(self, in_force: InForce) -> None:
--- a/src/amaranthrail/sidecar/slots.py
+++ b/src/amaranthrail/sidecar/slots.py
@@ -9,8 +9,12 @@
 
 from ..clock import Clock
 from ..manifest import Policies
+from ..policy.loads import Work
 from ..policy.queueing import QueueOrder, Waiting, make_queue_order
 
+#: Work that outruns its estimate is expected to take this share of it still.
+_LEAST_LEFT = 0.1
+
 
 class Slots:
     """Queue work for a fixed number of slots."""
@@ -46,17 +50,31 @@
         self._order = make_queue_order(policies)
         self._start_next()
 
-    def work_ms(self) -> float:
-        """Return the expected time until work queued now would start."""
-        if self.running < self._count and not self._waiting:
-            return 0
-        now = self._clock.now()
-        queued = sum(work.cost_ms for work in self._waiting)
-        running = sum(
-            max(work.cost_ms / 10, work.cost_ms - (now - since))
-            for work, since in self._running.values()
+    def has_room(self, *, long: bool) -> bool:
+        """Tell whether new work of a kind would start at once."""
+        work = Waiting(self._clock.now(), 0, long)
+        waiting = [*self._waiting, work]
+        free = self._count - self.running
+        if free < len(waiting):
+            return False
+        chosen = self._order(
+            [work],
+            self._running_long,
+            self._count,
+            work.arrived_at,
         )
-        return (queued + running) / self._count
+        return chosen is not None
+
+    def work(self, *, long: bool) -> Work:
+        """Return the work of one kind that waits and runs, with time left."""
+        now = self._clock.now()
+        costs = [one.cost_ms for one in self._waiting if one.long is long]
+        costs += [
+            max(_LEAST_LEFT * one.cost_ms, one.cost_ms - (now - since))
+            for one, since in self._running.values()
+            if one.long is long
+        ]
+        return Work(len(costs), sum(costs))
 
     @asynccontextmanager
     async def hold(self, work: Waiting) -> AsyncIterator[None]:
--- a/standins/deployments.py
+++ b/standins/deployments.py
@@ -8,8 +8,8 @@
 from typing import Any
 
 _ORGANISATIONS = 10
-_LARGE = 3
-_LARGE_WEIGHT = 4
+LARGE_ORGANISATIONS = 3
+LARGE_WEIGHT = 4
 
 
 @dataclass(frozen=True)
@@ -122,5 +122,5 @@
     return {
         'name': name,
         'credentials': [f'sha256:{digest}'],
-        'weight': _LARGE_WEIGHT if index < _LARGE else 1,
+        'weight': LARGE_WEIGHT if index < LARGE_ORGANISATIONS else 1,
     }
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -17,7 +17,6 @@
 import tempfile
 import time
 from collections.abc import Iterator
-from dataclasses import dataclass, field
 from http import client
 from pathlib import Path
 from typing import Any
@@ -38,54 +37,18 @@
     organisation_names,
     token_of,
 )
+from .launch import (
+    ADMIN_TOKEN,
+    EntryProcess,
+    FleetPlan,
+    Launcher,
+    UpstreamProcess,
+)
 
-ADMIN_TOKEN = 'local-administration-token'
-PEER_KEY = 'local-peer-key-of-the-fleet'
 _END_TIMEOUT_S = 8.0
 _LOG_TAIL = 2000
 
 
-@dataclass
-class EntryProcess:
-    """Name an entry's addresses and process."""
-
-    name: str
-    url: str
-    admin: str
-    child: Child
-
-
-@dataclass
-class UpstreamProcess:
-    """Name an upstream, its sidecar and their processes."""
-
-    name: str
-    service: str
-    domain: str
-    url: str
-    sidecar_address: str
-    sidecar_admin: str
-    child: Child
-    sidecar: Child
-
-
-@dataclass
-class FleetPlan:
-    """Say how large a fleet is to be and how its processes are set."""
-
-    deployment: str = 'valtrebbia'
-    entries: int = 2
-    replicas: int | None = None
-    services: int | None = None
-    policies: dict[str, Any] = field(default_factory=dict)
-    entry_settings: dict[str, str] = field(default_factory=dict)
-    sidecar_settings: dict[str, str] = field(default_factory=dict)
-    engine_arguments: tuple[str, ...] = ()
-    slots: int = 8
-    token_ms: float = 6
-    publish: bool = True
-
-
 class Fleet:
     """Own all processes of a local deployment."""
 
@@ -95,12 +58,16 @@
         self._folder = folder
         self._deployment: Deployment = DEPLOYMENTS[plan.deployment]
         self._platform_address = f'{LOOPBACK}:{free_ports(1)[0]}'
-        self._platform = self._child(
+        launcher = Launcher(plan, folder, self._platform_address)
+        self._platform = launcher.start(
             'platform',
             ['standins.platform', self._platform_address],
         )
-        self._upstreams = self._start_upstreams()
-        self._entries = self._start_entries()
+        self._upstreams = [
+            *launcher.start_upstreams(),
+            *launcher.start_group(),
+        ]
+        self._entries = launcher.start_entries()
 
     @property
     def deployment(self) -> Deployment:
@@ -127,6 +94,11 @@
         """Return the upstreams with their sidecars."""
         return self._upstreams
 
+    @property
+    def ranks(self) -> list[UpstreamProcess]:
+        """Return the ranks of the group, which share one process."""
+        return [one for one in self._upstreams if one.group]
+
     def of_service(self, service: str) -> list[UpstreamProcess]:
         """Return the upstreams of one service."""
         return [one for one in self._upstreams if one.service == service]
@@ -160,9 +132,11 @@
                 'upstream': one.name,
                 'service': one.service,
                 'domain': one.domain,
-                'host': one.sidecar_address.split(':')[0],
-                'port': int(one.sidecar_address.split(':')[1]),
+                'host': one.listed_address.split(':')[0],
+                'port': int(one.listed_address.split(':')[1]),
                 'state': 'leaving' if one.name in leaving else 'live',
+                'group': one.group,
+                'rank': one.rank,
             }
             for one in self._upstreams
         ]
@@ -237,6 +211,25 @@
             return None
         return answer.json() if answer.status == 200 else None
 
+    def wait_entry_answers(self, entry: EntryProcess) -> None:
+        """Wait until an entry answers its administration port."""
+        wait_until(lambda: self.status(entry))
+
+    def admin_call(
+        self,
+        method: str,
+        target: str,
+        body: dict[str, Any] | None = None,
+    ) -> Answer:
+        """Call the administration API of the last entry."""
+        return http_call(
+            self._entries[-1].admin,
+            method,
+            target,
+            body,
+            {'Authorization': f'Bearer {ADMIN_TOKEN}'},
+        )
+
     def runs(self, service: str) -> list[dict[str, Any]]:
         """Return all that truly ran at the upstreams of a service."""
         return [
@@ -299,6 +292,12 @@
         for child in self.children():
             child.wait(max(0.01, deadline - time.monotonic()))
             child.kill()
+        relays = [
+            *(one.relay for one in self._upstreams),
+            *(one.platform_relay for one in self._entries),
+        ]
+        for relay in filter(None, relays):
+            relay.close()
 
     def _all_connected(self, entry: EntryProcess) -> bool:
         status = self.status(entry)
@@ -310,117 +309,6 @@
             for one in serving
         )
 
-    def _child(
-        self,
-        name: str,
-        arguments: list[str],
-        environment: dict[str, str] | None = None,
-    ) -> Child:
-        log_path = self._folder / f'{name}.log'
-        return Child(arguments, environment or {}, log_path)
-
-    def _start_upstreams(self) -> list[UpstreamProcess]:
-        plan = self._plan
-        deployment = self._deployment
-        replicas = (
-            deployment.replicas if plan.replicas is None else plan.replicas
-        )
-        services = (
-            deployment.services if plan.services is None else plan.services
-        )
-        names = [
-            *((deployment.model, number) for number in range(replicas)),
-            *((deployment.plain, number) for number in range(services)),
-        ]
-        ports = iter(free_ports(3 * len(names)))
-        return [
-            self._start_upstream(service, number, ports)
-            for service, number in names
-        ]
-
-    def _start_upstream(
-        self,
-        service: str,
-        number: int,
-        ports: Iterator[int],
-    ) -> UpstreamProcess:
-        name = f'{service}-{number}'
-        domains = self._deployment.domains
-        domain = domains[number % len(domains)]
-        address, peer, admin = (f'{LOOPBACK}:{next(ports)}' for _ in range(3))
-        arguments = ['standins.plain', address, name]
-        if service == self._deployment.model:
-            arguments = [
-                'standins.engine',
-                address,
-                name,
-                *self._plan.engine_arguments,
-            ]
-        settings = self._settings(f'sidecar-{name}', peer, admin, domain)
-        settings.update(
-            _environment(
-                service=service,
-                upstream=name,
-                upstream_address=address,
-                **self._plan.sidecar_settings,
-            ),
-        )
-        return UpstreamProcess(
-            name,
-            service,
-            domain,
-            f'http://{address}',
-            peer,
-            admin,
-            self._child(name, arguments),
-            self._child(
-                f'sidecar-{name}',
-                ['amaranthrail.daemon', 'sidecar'],
-                settings,
-            ),
-        )
-
-    def _start_entries(self) -> list[EntryProcess]:
-        ports = iter(free_ports(2 * self._plan.entries))
-        found = []
-        for number in range(self._plan.entries):
-            name = f'entry-{number}'
-            domains = self._deployment.domains
-            address, admin = (f'{LOOPBACK}:{next(ports)}' for _ in range(2))
-            domain = domains[number % len(domains)]
-            settings = self._settings(name, address, admin, domain)
-            settings.update(_environment(**self._plan.entry_settings))
-            child = self._child(
-                name, ['amaranthrail.daemon', 'entry'], settings
-            )
-            url = f'http://{address}'
-            found.append(EntryProcess(name, url, admin, child))
-        return found
-
-    def _settings(
-        self,
-        name: str,
-        listen: str,
-        admin: str,
-        domain: str,
-    ) -> dict[str, str]:
-        return _environment(
-            name=name,
-            listen=listen,
-            admin_listen=admin,
-            admin_token=ADMIN_TOKEN,
-            peer_key=PEER_KEY,
-            domain=domain,
-            platform=self._platform_address,
-        )
-
-
-def _environment(**settings: str) -> dict[str, str]:
-    return {
-        f'AMARANTHRAIL_{name.upper()}': setting
-        for name, setting in settings.items()
-    }
-
 
 @contextlib.contextmanager
 def running_fleet(plan: FleetPlan) -> Iterator[Fleet]:
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -4,6 +4,7 @@
 
 import signal
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import msgspec
 import trio
@@ -34,12 +35,8 @@
     return found
 
 
-async def serve(
-    listen: str,
-    handler: Handler,
-    *background: Callable[[], Awaitable[None]],
-) -> None:
-    """Serve on an address, with background tasks, until told to end."""
+async def serve_address(listen: str, handler: Handler) -> None:
+    """Serve on an address until cancelled."""
     address = parse_address(listen)
     listeners = await trio.open_tcp_listeners(address.port, host=address.host)
     state = ServerState(lambda: _MAX_BODY_BYTES)
@@ -47,10 +44,23 @@
     async def answer(stream: trio.abc.Stream) -> None:
         await serve_connection(stream, handler, state)
 
+    await trio.serve_listeners(answer, listeners)
+
+
+async def run_until_told(*tasks: Callable[[], Awaitable[None]]) -> None:
+    """Run tasks until SIGTERM or SIGINT."""
     async with trio.open_nursery() as nursery:
-        for task in background:
+        for task in tasks:
             nursery.start_soon(task)
-        nursery.start_soon(trio.serve_listeners, answer, listeners)
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as told:
             async for _ in told:
                 nursery.cancel_scope.cancel()
+
+
+async def serve(
+    listen: str,
+    handler: Handler,
+    *background: Callable[[], Awaitable[None]],
+) -> None:
+    """Serve on an address, with background tasks, until told to end."""
+    await run_until_told(partial(serve_address, listen, handler), *background)
--- a/standins/tour.py
+++ b/standins/tour.py
@@ -10,13 +10,8 @@
 from concurrent.futures import Future, ThreadPoolExecutor
 
 from .calling import Answer, http_call, wait_until
-from .fleet import (
-    EntryProcess,
-    Fleet,
-    FleetPlan,
-    UpstreamProcess,
-    running_fleet,
-)
+from .fleet import Fleet, running_fleet
+from .launch import EntryProcess, FleetPlan, UpstreamProcess
 
 _DRAFTS = 12
 _FILINGS = 6
--- /dev/null
+++ b/tests/build.py
@@ -0,0 +1,81 @@
+"""Build records, frames and manifests for tests."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import msgspec
+
+from amaranthrail.frames import Dispatch
+from amaranthrail.records import (
+    Conclusion,
+    FilingState,
+    Intent,
+    ManifestChange,
+    ManifestSnapshot,
+)
+from standins.deployments import DEPLOYMENTS, make_manifest
+
+
+def manifest_text(mark: int = 0) -> bytes:
+    """Return a valid manifest that differs by its mark."""
+    manifest = make_manifest(DEPLOYMENTS['dvorak'])
+    manifest['limits'] = {'max_body_bytes': 1000 + mark}
+    return json.dumps(manifest).encode()
+
+
+def change(name: str, base: int, mark: int = 0) -> ManifestChange:
+    text = manifest_text(mark)
+    return ManifestChange(
+        id=name,
+        base=base,
+        author='test',
+        manifest=msgspec.Raw(text),
+    )
+
+
+def snapshot(name: str, version: int, text: bytes) -> ManifestSnapshot:
+    return ManifestSnapshot(
+        id=name,
+        version=version,
+        manifest=msgspec.Raw(text),
+    )
+
+
+def intent(key: str, name: str, attempt: int = 1, **changes: Any) -> Intent:
+    fields: dict[str, Any] = {
+        'key': key,
+        'id': name,
+        'attempt': attempt,
+        'digest': 'd',
+        'service': 's',
+        'upstream': 'u',
+        'incarnation': 'i',
+        'entry': 'e',
+        'deadline': 0,
+        'operation': 'o',
+    }
+    return Intent(**{**fields, **changes})
+
+
+def conclusion(key: str, name: str, state: FilingState) -> Conclusion:
+    return Conclusion(key=key, intent=name, state=state)
+
+
+def dispatch(request: str, incarnation: str, **changes: Any) -> Dispatch:
+    fields: dict[str, Any] = {
+        'request': request,
+        'incarnation': incarnation,
+        'stamp': 0,
+        'clock': 0.0,
+        'manifest': 0,
+        'organisation': 'o',
+        'method': 'POST',
+        'target': '/',
+        'headers': (),
+        'body': b'',
+        'left_ms': 1e9,
+        'cost_ms': 1.0,
+    }
+    return Dispatch(**{**fields, **changes})
--- a/tests/client.py
+++ b/tests/client.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from standins.calling import Answer, http_call
-from standins.fleet import EntryProcess, Fleet
+from standins.fleet import Fleet
+from standins.launch import EntryProcess
 
 LAST_EVENT = b'data: [DONE]\n\n'
 
@@ -42,6 +43,7 @@
     number: int = 0,
     body: dict[str, object] | None = None,
     headers: dict[str, str] | None = None,
+    timeout: float = 30,
 ) -> Answer:
     _, method, path, _ = fleet.deployment.operations[0]
     return http_call(
@@ -50,4 +52,5 @@
         path,
         body or {'books': 1},
         {**auth(fleet, number), 'Idempotency-Key': key, **(headers or {})},
+        timeout,
     )
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from standins.fleet import Fleet, FleetPlan, running_fleet
+from standins.fleet import Fleet, running_fleet
+from standins.launch import FleetPlan
 
 from .known_red import known_red
 
--- a/tests/raw.py
+++ b/tests/raw.py
@@ -5,7 +5,7 @@
 import contextlib
 import socket
 
-from standins.fleet import EntryProcess
+from standins.launch import EntryProcess
 
 _TIMEOUT_S = 10
 
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -7,7 +7,8 @@
 import pytest
 
 from standins.calling import http_call, wait_until
-from standins.fleet import ADMIN_TOKEN, Fleet
+from standins.fleet import Fleet
+from standins.launch import ADMIN_TOKEN
 
 from .client import auth, draft, file_order
 from .raw import exchange, exchange_at
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -12,7 +12,8 @@
 
 from amaranthrail.adapters.httpclient import HttpClient, parse_address
 from standins.calling import http_call
-from standins.fleet import Fleet, FleetPlan, running_fleet
+from standins.fleet import Fleet, running_fleet
+from standins.launch import FleetPlan
 
 from .client import auth
 from .raw import exchange_at
