--- a/src/amaranthrail/entry/call.py
+++ b/src/amaranthrail/entry/call.py
@@ -70,7 +70,6 @@
     incarnation: str
     manifest: int
     intent: str = ''
-    at_once: bool = False
 
 
 def make_dispatch(
@@ -96,7 +95,6 @@
         cost_ms=call.size.cost_ms,
         long=call.size.long,
         intent=target.intent,
-        at_once=target.at_once,
     )
 
 
--- a/src/amaranthrail/entry/core.py
+++ b/src/amaranthrail/entry/core.py
@@ -35,14 +35,6 @@
     max_body_bytes: int = 1_048_576
 
 
-@dataclass(frozen=True, slots=True)
-class Choice:
-    """Hold the peer that a call goes to and its expected wait there."""
-
-    peer: Peer
-    wait_ms: float
-
-
 class EntryCore:
     """Own what is common to all calls of one entry."""
 
@@ -125,7 +117,7 @@
         excluded: frozenset[str],
         *,
         admitted: bool = False,
-    ) -> Choice | Refusal:
+    ) -> Peer | Refusal:
         """Return the peer that a call goes to, or why it is refused now.
 
         ``excluded`` peers are used only when nobody else is there; a call
@@ -150,7 +142,7 @@
             refusal = self._admit(call, picked.wait_ms, admitted=admitted)
             if refusal is not None:
                 return refusal
-        return Choice(by_name[picked.name], picked.wait_ms)
+        return by_name[picked.name]
 
     def _admit(
         self,
--- a/src/amaranthrail/entry/filings.py
+++ b/src/amaranthrail/entry/filings.py
@@ -212,10 +212,9 @@
         call: Call,
         digest: str,
     ) -> Answer:
-        chosen = self._core.choose(call, frozenset())
-        if isinstance(chosen, Refusal):
-            return chosen
-        peer = chosen.peer
+        peer = self._core.choose(call, frozenset())
+        if isinstance(peer, Refusal):
+            return peer
         if not self._core.shards.reachable:
             return not_run(
                 Reason.LOG_UNAVAILABLE,
--- a/src/amaranthrail/entry/forward.py
+++ b/src/amaranthrail/entry/forward.py
@@ -15,7 +15,7 @@
 from .exchange import Exchange
 from .peers import Peer
 
-MAX_TRIES = 4
+MAX_TRIES = 3
 _STREAM_TYPE = 'text/event-stream'
 _LAST_EVENT = b'data: [DONE]\n\n'
 #: Refusals that come of news crossing on the way; another try is no retry in
@@ -26,7 +26,6 @@
         Reason.STALE_DISPATCH,
         Reason.WRONG_INCARNATION,
         Reason.DRAINING,
-        Reason.BUSY,
         Reason.VOIDED,
     ),
 )
@@ -44,23 +43,18 @@
     core.budget.earn()
     excluded: frozenset[str] = frozenset()
     failure: Refusal | None = None
-    for number in range(MAX_TRIES):
+    for _ in range(MAX_TRIES):
         chosen = core.choose(call, excluded, admitted=failure is not None)
         if isinstance(chosen, Refusal):
             failure = failure or chosen
             break
-        # Where a slot should be free, the sidecar is asked to refuse if there
-        # is none after all; the last try waits wherever it goes.
-        at_once = not chosen.wait_ms and number < MAX_TRIES - 1
-        failure = await _try_once(core, call, chosen.peer, reply, at_once)
+        failure = await _try_once(core, call, chosen, reply)
         if failure is None or reply.started:
             return
         if not _may_retry(core, failure):
             break
         core.runtime.metrics.count('retries', reason=failure.reason.value)
-        if failure.reason is not Reason.BUSY:
-            # A busy sidecar has told its load along with the refusal.
-            excluded |= {chosen.peer.name}
+        excluded |= {chosen.name}
     await send_refusal(
         reply,
         failure or not_run(Reason.NO_CAPACITY),
@@ -79,14 +73,9 @@
     call: Call,
     peer: Peer,
     reply: Reply,
-    at_once: bool,
 ) -> Refusal | None:
     clock = core.runtime.clock
-    target = Target(
-        peer.incarnation or '',
-        core.runtime.configuration.version,
-        at_once=at_once,
-    )
+    target = Target(peer.incarnation or '', core.runtime.configuration.version)
     exchange = peer.dispatch(partial(make_dispatch, call, clock, target))
     failure: Refusal | None = None
     expired = True
--- a/src/amaranthrail/frames.py
+++ b/src/amaranthrail/frames.py
@@ -72,8 +72,7 @@
 
     ``clock`` is the sidecar's own clock of its latest heartbeat; ``left_ms``
     the time to the caller's deadline. ``intent`` names the attempt of work that
-    must not repeat; it is empty for idempotent work. With ``at_once`` the
-    sidecar refuses rather than let the work wait for a slot.
+    must not repeat; it is empty for idempotent work.
     """
 
     request: str
@@ -90,7 +89,6 @@
     cost_ms: float
     long: bool = False
     intent: str = ''
-    at_once: bool = False
 
 
 class Head(Frame, frozen=True, tag='head'):
--- a/src/amaranthrail/manifest.py
+++ b/src/amaranthrail/manifest.py
@@ -27,7 +27,6 @@
     """Choose how an entry picks a replica."""
 
     AFFINITY = 'affinity'
-    LEAST_WAIT = 'least_wait'
     TWO_CHOICES = 'two_choices'
     ROUND_ROBIN = 'round_robin'
 
--- a/src/amaranthrail/outcomes.py
+++ b/src/amaranthrail/outcomes.py
@@ -32,7 +32,6 @@
     LOG_UNAVAILABLE = 'log-unavailable'
     SHUTTING_DOWN = 'shutting-down'
     DRAINING = 'draining'
-    BUSY = 'busy'
     EXPIRED = 'expired'
     WRONG_INCARNATION = 'wrong-incarnation'
     STALE_DISPATCH = 'stale-dispatch'
--- a/src/amaranthrail/policy/pick.py
+++ b/src/amaranthrail/policy/pick.py
@@ -43,19 +43,9 @@
         return _round_robin()
     if policy is PickPolicy.AFFINITY:
         return _affinity(source)
-    if policy is PickPolicy.LEAST_WAIT:
-        return _least_wait(source)
     return _two_choices(source)
 
 
-def _least_wait(source: random.Random) -> Picker:
-    def pick(candidates: Sequence[Candidate], _prefix: str) -> Candidate:
-        shuffled = source.sample(candidates, len(candidates))
-        return min(shuffled, key=_work_of)
-
-    return pick
-
-
 def _round_robin() -> Picker:
     turns = itertools.count()
 
--- a/src/amaranthrail/sidecar/peers.py
+++ b/src/amaranthrail/sidecar/peers.py
@@ -251,21 +251,12 @@
                 self._link.post(push_frame(self._runtime.configuration))
             self._refuse(dispatch.request, found.reason, found.detail)
             return
-        is_new = found is None
-        if is_new and dispatch.at_once and not self._has_room(dispatch):
-            self._office.gate.void(dispatch.request)
-            self.announce()
-            self._refuse(dispatch.request, Reason.BUSY, 'no slot is free')
-            return
         if found is None:
             found = Run(dispatch, self._runtime.clock.now())
             self._office.gate.enter(found)
             self._office.runs.start_soon(self._office.worker.run, found)
         self._answer(dispatch.request, found, nursery)
 
-    def _has_room(self, dispatch: Dispatch) -> bool:
-        return self._office.slots.has_room(long=dispatch.long)
-
     def _answer(
         self,
         request: str,
--- a/src/amaranthrail/sidecar/slots.py
+++ b/src/amaranthrail/sidecar/slots.py
@@ -50,21 +50,6 @@
         self._order = make_queue_order(policies)
         self._start_next()
 
-    def has_room(self, *, long: bool) -> bool:
-        """Tell whether new work of a kind would start at once."""
-        work = Waiting(self._clock.now(), 0, long)
-        waiting = [*self._waiting, work]
-        free = self._count - self.running
-        if free < len(waiting):
-            return False
-        chosen = self._order(
-            [work],
-            self._running_long,
-            self._count,
-            work.arrived_at,
-        )
-        return chosen is not None
-
     def work(self, *, long: bool) -> Work:
         """Return the work of one kind that waits and runs, with time left."""
         now = self._clock.now()
