Admit what can be answered in time, and give the under-served their share

Change: waiting may take 0.6 of the time left; a slot is not given to work with less time left than its estimate; fair shares bind harder the longer the wait.

--- a/src/amaranthrail/policy/admission.py
+++ b/src/amaranthrail/policy/admission.py
@@ -13,6 +13,11 @@
 #: An organisation may exceed its fair share by this factor before it binds.
 SHARE_SLACK = 1.1
 MIN_RETRY_AFTER_MS = 100
+#: Share of the time to the deadline that waiting may take up: the estimate is
+#: late by up to a heartbeat, and a queue at its limit must still be answered.
+MAX_WAIT_SHARE = 0.6
+#: Work in a slot may take this many times its estimate.
+COST_MARGIN = 1.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,11 +70,14 @@
         organisation: str,
         cost_ms: float,
         weights: dict[str, float],
+        scale: float = 1,
     ) -> bool:
         """Tell whether more work would take more than a fair share.
 
         Shares go by weight among organisations with work in progress, so a
-        lone organisation is never bound.
+        lone organisation is never bound. They are shares of ``scale`` times
+        all work in progress: below 1 where there is more than there should
+        be, so that those under their share still get in.
         """
         active = {*self._held, organisation}
         if len(active) == 1:
@@ -77,7 +85,7 @@
         weight_sum = sum(weights.get(name, 1) for name in active)
         share = weights.get(organisation, 1) / weight_sum
         wanted = self.held(organisation) + cost_ms
-        allowed = SHARE_SLACK * share * (self._total + cost_ms)
+        allowed = SHARE_SLACK * scale * share * (self._total + cost_ms)
         return wanted > max(allowed, cost_ms)
 
 
@@ -87,7 +95,7 @@
     weights: dict[str, float],
 ) -> Refusal | None:
     """Return why a request is not admitted, None where it is."""
-    finish_ms = demand.wait_ms + demand.cost_ms
+    finish_ms = demand.wait_ms / MAX_WAIT_SHARE + demand.cost_ms * COST_MARGIN
     if finish_ms > demand.left_ms:
         late_ms = finish_ms - demand.left_ms
         return not_run(
@@ -95,11 +103,12 @@
             f'expected to finish {late_ms:.0f} ms after the deadline',
             math.ceil(max(MIN_RETRY_AFTER_MS, late_ms)),
         )
-    is_short = demand.wait_ms > SHORT_WAIT_SHARE * demand.left_ms
-    if is_short and shares.exceeds(
+    short_ms = SHORT_WAIT_SHARE * demand.left_ms
+    if demand.wait_ms > short_ms and shares.exceeds(
         demand.organisation,
         demand.cost_ms,
         weights,
+        short_ms / demand.wait_ms,
     ):
         return not_run(
             Reason.ORGANISATION_LIMIT,
--- a/src/amaranthrail/sidecar/worker.py
+++ b/src/amaranthrail/sidecar/worker.py
@@ -73,8 +73,17 @@
         async with self._slots.hold(work):
             waited = self._runtime.clock.now() - run.arrived_at
             self._runtime.metrics.latency('queue_wait').record(waited)
+            if self._is_too_late(run):
+                detail = 'too little time was left at its turn'
+                self._fail(run, not_run(Reason.EXPIRED, detail))
+                return
             await self._call(run)
 
+    def _is_too_late(self, run: Run) -> bool:
+        """Tell whether the work would only take a slot from work in time."""
+        left_ms = run.deadline - self._runtime.clock.now()
+        return left_ms < run.dispatch.cost_ms
+
     async def _call(self, run: Run) -> None:
         # A keyed run goes on past its deadline once it has started: its
         # outcome must be learnt, and cutting it off would not undo it.
