Show that each fault was felt, and one key at both entries at once

Cause: the tests of filings under faults did not assert that the fault happened. Now each fault names what callers or processes must have noticed; for a pair one of both, since one may hide the other. Added: 12 keys asked for four times at once at both entries, a key again after its outcome, a lost key that runs again only by an operator's word.

--- a/bench/crest.py
+++ b/bench/crest.py
@@ -120,7 +120,7 @@
         services=0,
         policies=policies,
         engine_arguments=('--step-ms', str(STEP_MS), '--slots', str(SLOTS)),
-        slots=SLOTS,
+        slots=SLOTS + 1,
         token_ms=STEP_MS * _GROWTH,
     )
     with running_fleet(plan) as fleet:
--- a/tests/filing.py
+++ b/tests/filing.py
@@ -29,6 +29,7 @@
 
     key: str
     told: list[str] = field(default_factory=list)
+    took_s: float = 0
 
 
 class Workload:
@@ -45,6 +46,10 @@
     def filed(self) -> list[Filed]:
         return self._filed
 
+    @property
+    def longest_s(self) -> float:
+        return max(one.took_s for one in self._filed)
+
     def start(self) -> None:
         for caller in range(_CALLERS):
             self._pool.submit(self._call_on, caller)
@@ -60,7 +65,9 @@
             filed = Filed(f'{self._name}-{caller}-{number}')
             self._filed.append(filed)
             entry = self._fleet.entries[number % len(self._fleet.entries)]
+            began = time.monotonic()
             filed.told.append(tell(self._fleet, entry, filed.key))
+            filed.took_s = time.monotonic() - began
             time.sleep(_PAUSE_S)
 
 
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -12,6 +12,7 @@
 from standins.fleet import Fleet, running_fleet
 from standins.launch import FleetPlan
 
+from .evidence import Seen, peers_lost
 from .faults import FAULTS, Fault
 from .filing import Workload, check_promises
 
@@ -57,6 +58,7 @@
 
 
 def _try(fleet: Fleet, faults: tuple[Fault, ...]) -> None:
+    lost_before = peers_lost(fleet)
     name = '+'.join(fault.name.replace(' ', '-') for fault in faults)
     workload = Workload(fleet, name)
     workload.start()
@@ -70,3 +72,8 @@
     workload.stop()
     told = check_promises(fleet, workload)
     assert told['ran'], told
+    lost = peers_lost(fleet) - lost_before
+    seen = Seen(told, workload.longest_s, lost)
+    # Of two faults one may hide the other.
+    noticeable = [fault.felt for fault in faults if fault.felt is not None]
+    assert not noticeable or any(felt(seen) for felt in noticeable), seen
--- /dev/null
+++ b/tests/test_same_key.py
@@ -0,0 +1,65 @@
+"""Run a key once however many ask for it, wherever and whenever they do."""
+
+from __future__ import annotations
+
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
+
+from standins.calling import http_call, wait_until
+from standins.fleet import Fleet
+
+from .client import file_order
+from .filing import lost_keys, resolve
+
+KEYS = 12
+ASKERS = 4
+
+
+def test_one_key_at_both_entries_at_once(fleet: Fleet) -> None:
+    asks = [
+        (f'same-{number}', fleet.entries[asker % 2])
+        for number in range(KEYS)
+        for asker in range(ASKERS)
+    ]
+    with ThreadPoolExecutor(len(asks)) as pool:
+        answers = list(
+            pool.map(lambda ask: file_order(fleet, ask[1], ask[0]), asks)
+        )
+    assert [one.status for one in answers] == [200 for _ in asks]
+    bodies = {
+        (key, answer.body)
+        for (key, _), answer in zip(asks, answers, strict=True)
+    }
+    assert len(bodies) == KEYS
+    counts = Counter(run['key'] for run in fleet.runs('sportello'))
+    assert [counts[f'same-{number}'] for number in range(KEYS)] == [
+        1 for _ in range(KEYS)
+    ]
+
+
+def test_key_again_after_its_outcome(fleet: Fleet) -> None:
+    first = file_order(fleet, fleet.entries[0], 'again')
+    later = [file_order(fleet, entry, 'again') for entry in fleet.entries * 3]
+    assert {(one.status, one.body) for one in later} == {(200, first.body)}
+    counts = Counter(run['key'] for run in fleet.runs('sportello'))
+    assert counts['again'] == 1
+
+
+def test_lost_key_runs_again_only_by_an_operator(fleet: Fleet) -> None:
+    key = 'cut-off'
+    for one in fleet.of_service('sportello'):
+        cut: dict[str, object] = {'cut_after_bytes': 5}
+        http_call(one.url, 'POST', '/control/faults', cut)
+    try:
+        first = file_order(fleet, fleet.entries[0], key)
+    finally:
+        for one in fleet.of_service('sportello'):
+            healed: dict[str, object] = {'cut_after_bytes': None}
+            http_call(one.url, 'POST', '/control/faults', healed)
+    assert (first.status, first.headers['x-outcome']) == (504, 'unknown')
+    wait_until(lambda: key in lost_keys(fleet))
+    again = file_order(fleet, fleet.entries[1], key)
+    assert (again.status, again.json()['reason']) == (409, 'key-lost')
+    assert resolve(fleet, key, 'not-run') == 200
+    assert file_order(fleet, fleet.entries[1], key).status == 200
+    assert key not in lost_keys(fleet)
