--- a/bench/path.py
+++ b/bench/path.py
@@ -27,6 +27,7 @@
 CONNECTIONS = 1000
 ORGANISATIONS = 25_000
 IDLE_S = 8.0
+IDLE_LINKS = (2, 16)
 
 
 def main(seed: int, file: Path | None, plot: Path | None) -> None:
@@ -48,9 +49,19 @@
             'streams': _streams(fleet),
             'memory': _memory(fleet),
         }
+    found['idle by links'] = {
+        str(links): _idle_with(links) for links in IDLE_LINKS
+    }
     report.show('path', found, file)
 
 
+def _idle_with(links: int) -> dict[str, float]:
+    """Return the idle cost of an entry that keeps a number of links."""
+    plan = FleetPlan(entries=1, replicas=links, services=0)
+    with running_fleet(plan) as fleet:
+        return _idle(fleet)
+
+
 def _headers(fleet: Fleet) -> dict[str, str]:
     return {'Authorization': f'Bearer {fleet.token()}'}
 
