Answer a key that ran also while the log is down

Cause, found by reading the filings through: an entry that cannot read the log told "not run" although the key may have run at another entry, or at itself before a restart. And a caller who came while the sweeper settled its key was told 422, because the sweeper's job had no digest. Change: while the record cannot be trusted, the entry asks the sidecars of the service whether they know the key, and hands on the first answer; the sweeper's job takes the intent's digest.

--- a/bench/path.py
+++ b/bench/path.py
@@ -42,7 +42,7 @@
         token_ms=4,
     )
     with running_fleet(plan) as fleet:
-        found = {
+        found: dict[str, Any] = {
             'idle': _idle(fleet),
             'light load': _light(fleet),
             'busy': _busy(fleet),
--- a/src/amaranthrail/entry/call.py
+++ b/src/amaranthrail/entry/call.py
@@ -9,7 +9,13 @@
 from ..frames import Dispatch
 from ..manifest import Organisation
 from ..policy.sizes import Size
-from ..types import FilingKey, HeaderList, RequestId
+from ..types import (
+    KEY_HEADER,
+    FilingKey,
+    HeaderList,
+    RequestId,
+    qualified_key,
+)
 from .routes import Route
 
 #: Fields that carry the caller's secrets or address this hop alone.
@@ -48,10 +54,10 @@
     @property
     def key(self) -> FilingKey | None:
         """Return the idempotency key, qualified by its organisation."""
-        given = self.request.header('idempotency-key')
+        given = self.request.header(KEY_HEADER)
         if not given:
             return None
-        return FilingKey(f'{self.organisation.name}/{given}')
+        return qualified_key(self.organisation.name, given)
 
     @property
     def operation_name(self) -> str:
--- a/src/amaranthrail/entry/callers.py
+++ b/src/amaranthrail/entry/callers.py
@@ -14,6 +14,7 @@
     size_model_call,
     size_operation,
 )
+from ..types import KEY_HEADER
 from .call import Call
 from .core import EntryCore
 from .filings import Filings
@@ -160,7 +161,7 @@
 
 
 def _check_key(request: HttpRequest) -> Refusal | None:
-    given = request.header('idempotency-key')
+    given = request.header(KEY_HEADER)
     if given is None or (given.isprintable() and len(given) <= _MAX_KEY_LENGTH):
         return None
     return not_run(
--- a/src/amaranthrail/entry/exchange.py
+++ b/src/amaranthrail/entry/exchange.py
@@ -7,18 +7,31 @@
 import trio
 import xxhash
 
-from ..frames import Ack, Broken, Dispatch, End, Head, Inquire, Part, Refused
+from ..frames import (
+    Ack,
+    AskKey,
+    Broken,
+    Dispatch,
+    End,
+    Head,
+    Inquire,
+    Part,
+    Refused,
+)
 from ..outcomes import Outcome, Reason, Refusal, not_run, unknown
 from ..types import RequestId
 
 #: The sidecar sends at most this far past the last acknowledged byte.
 ACK_EVERY_BYTES = 65_536
 
+#: The frames that open an exchange.
+Opening = Dispatch | Inquire | AskKey
+
 
 class Exchange:
     """Hold one request in flight to a sidecar and its answer so far."""
 
-    def __init__(self, request: RequestId, opening: Dispatch | Inquire) -> None:
+    def __init__(self, request: RequestId, opening: Opening) -> None:
         """Take the request's id and the frame that opened the exchange."""
         self._request = request
         self._opening = opening
@@ -38,7 +51,7 @@
         return self._request
 
     @property
-    def opening(self) -> Dispatch | Inquire:
+    def opening(self) -> Opening:
         """Return the frame that opened the exchange."""
         return self._opening
 
--- a/src/amaranthrail/entry/filings.py
+++ b/src/amaranthrail/entry/filings.py
@@ -98,7 +98,8 @@
             for filing in self._ledger.open():
                 key = FilingKey(filing.intent.key)
                 if key not in self._jobs and self._is_overdue(filing):
-                    job = _Job('', trio.Event(), unknown(Reason.STILL_RUNNING))
+                    unsure = unknown(Reason.STILL_RUNNING)
+                    job = _Job(filing.intent.digest, trio.Event(), unsure)
                     self._jobs[key] = job
                     self._nursery.start_soon(self._settle_overdue, key, job)
 
@@ -152,11 +153,7 @@
 
     async def _answer(self, key: FilingKey, call: Call, digest: str) -> Answer:
         if not await self._caught_up(key, call):
-            return not_run(
-                Reason.LOG_UNAVAILABLE,
-                'the record of this key cannot be read',
-                int(MS_PER_SECOND),
-            )
+            return await self._unrecorded(call, 'the log cannot be read')
         outcome: Answer = not_run(Reason.NO_CAPACITY)
         for _ in range(MAX_ATTEMPTS):
             filing = self._ledger.find(key)
@@ -177,6 +174,22 @@
             return True
         return False
 
+    async def _unrecorded(self, call: Call, detail: str) -> Answer:
+        """Answer while the record cannot be trusted to be up to date.
+
+        The request itself is not run, but its key may have been, at another
+        entry: a sidecar that knows the key has the answer.
+        """
+        key = call.key or ''
+        for peer in self._core.roster.connected(call.route.service.name):
+            exchange = peer.ask_key(key)
+            answer = await self._collect(peer, exchange, _ASK_TIMEOUT_MS)
+            if isinstance(answer, HttpAnswer):
+                return answer
+            if answer.outcome is Outcome.UNKNOWN:
+                return answer
+        return not_run(Reason.LOG_UNAVAILABLE, detail, int(MS_PER_SECOND))
+
     async def _attach(self, filing: Filing, digest: str) -> Answer:
         """Return what became of an attempt that was claimed before."""
         if filing.intent.digest != digest:
@@ -216,11 +229,7 @@
         if isinstance(peer, Refusal):
             return peer
         if not self._core.shards.reachable:
-            return not_run(
-                Reason.LOG_UNAVAILABLE,
-                'work that may run only once needs the log',
-                int(MS_PER_SECOND),
-            )
+            return await self._unrecorded(call, 'the log cannot be reached')
         began = self._runtime.clock.now()
         intent = self._make_intent(key, call, digest, peer)
         self._core.shards.add(intent)
@@ -228,11 +237,7 @@
         if claimed is None:
             # Only this entry may dispatch the intent and it never will.
             self._conclusions.void(intent, 'not recorded in time')
-            return not_run(
-                Reason.LOG_UNAVAILABLE,
-                'the intent was not recorded in time',
-                int(MS_PER_SECOND),
-            )
+            return await self._unrecorded(call, 'not recorded in time')
         if claimed.intent.id != intent.id:
             return await self._attach(claimed, digest)
         return await self._dispatch(intent, call, peer, began)
--- a/src/amaranthrail/entry/inflight.py
+++ b/src/amaranthrail/entry/inflight.py
@@ -5,6 +5,7 @@
 import trio
 
 from ..frames import (
+    AskKey,
     Broken,
     Dispatch,
     End,
@@ -89,7 +90,7 @@
         if waiter is not None:
             waiter.take(frame.payload)
 
-    def resumptions(self) -> list[Resume | Inquire]:
+    def resumptions(self) -> list[Resume | Inquire | AskKey]:
         """Return the frames that go on with all exchanges on a new link."""
         return [_resumption(one) for one in self._exchanges.values()]
 
@@ -100,8 +101,10 @@
         self._exchanges.clear()
 
 
-def _resumption(exchange: Exchange) -> Resume | Inquire:
+def _resumption(exchange: Exchange) -> Resume | Inquire | AskKey:
     opening = exchange.opening
+    if isinstance(opening, AskKey):
+        return opening
     if isinstance(opening, Dispatch) and not opening.intent:
         return Resume(
             exchange.request,
--- a/src/amaranthrail/entry/peers.py
+++ b/src/amaranthrail/entry/peers.py
@@ -22,6 +22,7 @@
 from ..frames import (
     Ack,
     AnyFrame,
+    AskKey,
     Broken,
     Cancel,
     Dispatch,
@@ -179,6 +180,13 @@
         self._open(exchange)
         return exchange
 
+    def ask_key(self, key: str) -> Exchange:
+        """Ask what became of a key there, voiding nothing."""
+        request = self._access.next_request()
+        exchange = Exchange(request, AskKey(request, key))
+        self._open(exchange)
+        return exchange
+
     def close(self, exchange: Exchange, *, cancel: bool) -> None:
         """Forget an exchange; ``cancel`` stops its work too."""
         self._in_flight.remove(exchange)
--- a/src/amaranthrail/entry/roster.py
+++ b/src/amaranthrail/entry/roster.py
@@ -50,6 +50,14 @@
             and peer.record.upstream in self._listed
         ]
 
+    def connected(self, service: str) -> list[Peer]:
+        """Return the peers of a service that can be reached now."""
+        return [
+            peer
+            for peer in self._peers.values()
+            if peer.record.service == service and peer.connected
+        ]
+
     async def run(self) -> None:
         """Follow the host list for good."""
         async with trio.open_nursery() as nursery:
--- a/src/amaranthrail/frames.py
+++ b/src/amaranthrail/frames.py
@@ -167,6 +167,13 @@
     received: int = 0
 
 
+class AskKey(Frame, frozen=True, tag='key?'):
+    """Ask what became of a key, voiding nothing; for when the log is down."""
+
+    request: str
+    key: str
+
+
 class ManifestPull(Frame, frozen=True, tag='pull'):
     """Ask the peer for the configuration that it holds."""
 
@@ -222,6 +229,7 @@
     | Resume
     | Cancel
     | Inquire
+    | AskKey
     | ManifestPull
     | ManifestPush
     | EventsAsk
--- a/src/amaranthrail/outcomes.py
+++ b/src/amaranthrail/outcomes.py
@@ -24,6 +24,7 @@
     KEY_REQUIRED = 'key-required'
     KEY_REUSED = 'key-reused'
     KEY_LOST = 'key-lost'
+    KEY_UNKNOWN = 'key-unknown'
     BODY_TOO_LARGE = 'body-too-large'
     ORGANISATION_LIMIT = 'organisation-limit'
     NO_MANIFEST = 'no-manifest'
--- a/src/amaranthrail/sidecar/gate.py
+++ b/src/amaranthrail/sidecar/gate.py
@@ -41,6 +41,7 @@
         self._configuration = configuration
         self._by_request: dict[str, Run] = {}
         self._by_intent: dict[str, Run] = {}
+        self._by_key: dict[str, Run] = {}
         self._voided: dict[str, float] = {}
         self._leaving = False
 
@@ -82,6 +83,11 @@
         self._by_request[run.dispatch.request] = run
         if run.dispatch.intent:
             self._by_intent[run.dispatch.intent] = run
+            self._by_key[run.key] = run
+
+    def find_key(self, key: str) -> Run | None:
+        """Return the latest run of a caller's key."""
+        return self._by_key.get(key)
 
     def inquire(self, intent: str) -> Run | None:
         """Return the run of an attempt; where there is none it is void now."""
@@ -111,6 +117,7 @@
         }
         self._by_request = _young(self._by_request, now - ANSWER_KEPT_MS)
         self._by_intent = _young(self._by_intent, now - KEYED_KEPT_MS)
+        self._by_key = _young(self._by_key, now - KEYED_KEPT_MS)
 
     def unfinished(self) -> list[Run]:
         """Return the runs that have not ended."""
--- a/src/amaranthrail/sidecar/peers.py
+++ b/src/amaranthrail/sidecar/peers.py
@@ -12,6 +12,7 @@
 from ..frames import (
     Ack,
     AnyFrame,
+    AskKey,
     Broken,
     Cancel,
     Dispatch,
@@ -189,7 +190,7 @@
                     self._runtime.configuration,
                     frame,
                 )
-            case Resume() | Inquire() | Cancel():
+            case Resume() | Inquire() | AskKey() | Cancel():
                 self._take_question(frame, nursery)
             case ManifestPush():
                 take_push(self._runtime, frame)
@@ -213,7 +214,7 @@
 
     def _take_question(
         self,
-        frame: Resume | Inquire | Cancel,
+        frame: Resume | Inquire | AskKey | Cancel,
         nursery: trio.Nursery,
     ) -> None:
         gate = self._office.gate
@@ -226,6 +227,8 @@
                 self._answer(frame.request, run, nursery, progress)
             case Inquire():
                 self._take_inquiry(frame, nursery)
+            case AskKey():
+                self._take_key_question(frame, nursery)
             case Cancel():
                 self._cancel(frame.request)
 
@@ -240,6 +243,13 @@
         progress = Progress(inquiry.received)
         self._answer(inquiry.request, run, nursery, progress)
 
+    def _take_key_question(self, asked: AskKey, nursery: trio.Nursery) -> None:
+        run = self._office.gate.find_key(asked.key)
+        if run is None:
+            self._refuse(asked.request, Reason.KEY_UNKNOWN, 'never ran here')
+            return
+        self._answer(asked.request, run, nursery)
+
     def _take_dispatch(
         self,
         dispatch: Dispatch,
--- a/src/amaranthrail/sidecar/run.py
+++ b/src/amaranthrail/sidecar/run.py
@@ -9,7 +9,7 @@
 
 from ..frames import Broken, Dispatch, End, Frame, Head, Part, Refused
 from ..outcomes import Outcome, Refusal
-from ..types import HeaderList, RequestId
+from ..types import KEY_HEADER, HeaderList, RequestId, qualified_key
 
 #: Bytes read from the upstream beyond what the entry has acknowledged.
 WINDOW_BYTES = 262_144
@@ -52,6 +52,14 @@
         """Return the request."""
         return self._dispatch
 
+    @property
+    def key(self) -> str:
+        """Return the caller's key, qualified by its organisation."""
+        return qualified_key(
+            self._dispatch.organisation,
+            dict(self._dispatch.headers).get(KEY_HEADER, ''),
+        )
+
     @property
     def scope(self) -> trio.CancelScope:
         """Return the scope that stops the run."""
--- a/src/amaranthrail/types.py
+++ b/src/amaranthrail/types.py
@@ -24,5 +24,13 @@
 #: A span or a point in time, in milliseconds.
 Millis = NewType('Millis', float)
 
+#: Where callers put their idempotency key.
+KEY_HEADER = 'idempotency-key'
+
 #: HTTP header fields in order of arrival, names in lower case.
 HeaderList = tuple[tuple[str, str], ...]
+
+
+def qualified_key(organisation: str, key: str) -> FilingKey:
+    """Return a caller's key as the record has it: it is its organisation's."""
+    return FilingKey(f'{organisation}/{key}')
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -12,6 +12,7 @@
 from standins.fleet import Fleet, running_fleet
 from standins.launch import FleetPlan
 
+from .client import file_order
 from .evidence import Seen, peers_lost
 from .faults import FAULTS, Fault
 from .filing import Workload, check_promises
@@ -57,6 +58,25 @@
     _try(faulty, faults)
 
 
+def test_key_that_ran_is_known_in_a_log_outage(faulty: Fleet) -> None:
+    key = 'before-the-outage'
+    first = file_order(faulty, faulty.entries[0], key)
+    faulty.fault_platform(log='down')
+    try:
+        forgetful = faulty.entries[1]
+        forgetful.child.kill()
+        forgetful.child.restart()
+        faulty.wait_entry_ready(forgetful)
+        again = file_order(faulty, forgetful, key)
+        fresh = file_order(faulty, forgetful, 'in-the-outage')
+    finally:
+        faulty.fault_platform(log='up')
+    assert (again.status, again.body) == (200, first.body)
+    assert (fresh.status, fresh.headers['x-outcome']) == (503, 'not-run')
+    ran = [run['key'] for run in faulty.runs('sportello')]
+    assert (ran.count(key), ran.count('in-the-outage')) == (1, 0)
+
+
 def _try(fleet: Fleet, faults: tuple[Fault, ...]) -> None:
     lost_before = peers_lost(fleet)
     name = '+'.join(fault.name.replace(' ', '-') for fault in faults)
