Pull a changed manifest from one peer; share what both ends of a link do

Change: a change is announced by a heartbeat; who is behind asks one peer, and another after half a second. Heartbeats and the three configuration frames are handled in one place (spread) for entries, sidecars and ranks; they stood thrice. Conclusion: one copy a process and change instead of one a link and change.

--- a/src/amaranthrail/entry/administration.py
+++ b/src/amaranthrail/entry/administration.py
@@ -256,7 +256,7 @@
             PUBLISH_TIMEOUT_MS,
         )
         for peer in self._core.roster.peers:
-            peer.push_configuration()
+            peer.announce()
         told = {'upstream': order.upstream, 'in_force': seen}
         await send_json(reply, _OK if seen else _ACCEPTED, told)
 
--- a/src/amaranthrail/entry/core.py
+++ b/src/amaranthrail/entry/core.py
@@ -179,4 +179,4 @@
         self._runtime.metrics.gauge('manifest_version', in_force.version)
         self._runtime.timeline.add('manifest-in-force', str(in_force.version))
         for peer in self._roster.peers:
-            peer.push_configuration()
+            peer.announce()
--- a/src/amaranthrail/entry/peers.py
+++ b/src/amaranthrail/entry/peers.py
@@ -33,8 +33,6 @@
     Heartbeat,
     Hello,
     Inquire,
-    ManifestPull,
-    ManifestPush,
     Part,
     Refused,
     Welcome,
@@ -45,7 +43,7 @@
 from ..ports import HostRecord, HostState
 from ..runtime import Runtime
 from ..settings import EntrySettings
-from ..spread import compare_versions, push_frame, take_push
+from ..spread import beat, plain_heartbeat, take_shared
 from ..timeline import Event
 from ..types import Incarnation, RequestId
 from .exchange import Exchange
@@ -207,10 +205,10 @@
         if ack is not None and self._link is not None:
             self._link.post(ack)
 
-    def push_configuration(self) -> None:
-        """Hand over the configuration in force."""
+    def announce(self) -> None:
+        """Tell the versions in force now rather than at the next beat."""
         if self._link is not None:
-            self._link.post(push_frame(self._runtime.configuration))
+            self._link.post(plain_heartbeat(self._runtime))
 
     async def events(self, timeout_ms: float) -> list[Event]:
         """Return the sidecar's time line, empty where it does not answer."""
@@ -307,39 +305,22 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(link.run_writer)
             nursery.start_soon(link.watch_silence, settings.silence_ms)
-            nursery.start_soon(self._beat, link)
+            nursery.start_soon(beat, link, self._runtime, settings.heartbeat_ms)
             while True:
                 self._take(link, await link.receive())
 
-    async def _beat(self, link: Link) -> None:
-        configuration = self._runtime.configuration
-        while True:
-            link.post(
-                Heartbeat(
-                    self._runtime.clock.stamp(),
-                    self._runtime.clock.now(),
-                    configuration.version,
-                    configuration.drains_version,
-                ),
-            )
-            await sleep(self._access.settings.heartbeat_ms)
-
     def _take(self, link: Link, frame: AnyFrame) -> None:
+        if isinstance(frame, Heartbeat):
+            self._load = frame
+            self._tracker.hear(frame)
+        if take_shared(link, self._runtime, frame):
+            return
         match frame:
             case Head() | End() | Refused() | Broken():
                 self._runtime.clock.receive(frame.stamp)
                 self._in_flight.take(frame)
             case Part():
                 self._in_flight.take(frame)
-            case Heartbeat():
-                self._runtime.clock.receive(frame.stamp)
-                self._load = frame
-                self._tracker.hear(frame)
-                compare_versions(link, self._runtime.configuration, frame)
-            case ManifestPush():
-                take_push(self._runtime, frame)
-            case ManifestPull():
-                link.post(push_frame(self._runtime.configuration))
             case Events():
                 self._in_flight.take_events(frame)
             case _:
--- a/src/amaranthrail/runtime.py
+++ b/src/amaranthrail/runtime.py
@@ -8,6 +8,7 @@
 from .clock import Clock
 from .configuration import Configuration
 from .metrics import Metrics
+from .pulls import Pulls
 from .timeline import Timeline
 from .types import DomainName, Incarnation, ProcessName
 
@@ -30,8 +31,11 @@
     configuration: Configuration = field(default_factory=Configuration)
     incarnation: Incarnation = field(default_factory=new_incarnation)
     timeline: Timeline = field(init=False)
+    pulls: Pulls = field(init=False)
 
     def __post_init__(self) -> None:
-        """Make the time line that this process signs."""
+        """Make the parts that need the others."""
         timeline = Timeline(self.clock, self.process, self.incarnation)
         object.__setattr__(self, 'timeline', timeline)
+        pulls = Pulls(self.clock, self.configuration)
+        object.__setattr__(self, 'pulls', pulls)
--- a/src/amaranthrail/sidecar/peers.py
+++ b/src/amaranthrail/sidecar/peers.py
@@ -23,8 +23,6 @@
     Heartbeat,
     Hello,
     Inquire,
-    ManifestPull,
-    ManifestPush,
     Refused,
     Resume,
     Welcome,
@@ -34,7 +32,7 @@
 from ..outcomes import Reason, Refusal
 from ..runtime import Runtime
 from ..settings import SidecarSettings
-from ..spread import compare_versions, push_frame, take_push
+from ..spread import take_shared
 from ..timeline import encode_events
 from ..types import RequestId
 from .gate import Gate
@@ -177,25 +175,16 @@
         )
 
     def _take(self, frame: AnyFrame, nursery: trio.Nursery) -> None:
+        if take_shared(self._link, self._runtime, frame):
+            return
         match frame:
             case Dispatch():
                 self._runtime.clock.receive(frame.stamp)
                 self._take_dispatch(frame, nursery)
             case Ack():
                 self._take_ack(frame)
-            case Heartbeat():
-                self._runtime.clock.receive(frame.stamp)
-                compare_versions(
-                    self._link,
-                    self._runtime.configuration,
-                    frame,
-                )
             case Resume() | Inquire() | AskKey() | Cancel():
                 self._take_question(frame, nursery)
-            case ManifestPush():
-                take_push(self._runtime, frame)
-            case ManifestPull():
-                self._link.post(push_frame(self._runtime.configuration))
             case EventsAsk():
                 events = self._runtime.timeline.after(frame.after)
                 self._link.post(Events(frame.request, encode_events(events)))
@@ -258,7 +247,7 @@
         found = self._office.gate.check(dispatch)
         if isinstance(found, Refusal):
             if found.reason is Reason.STALE_MANIFEST:
-                self._link.post(push_frame(self._runtime.configuration))
+                self.announce()
             self._refuse(dispatch.request, found.reason, found.detail)
             return
         if found is None:
--- a/src/amaranthrail/sidecar/ranklink.py
+++ b/src/amaranthrail/sidecar/ranklink.py
@@ -13,19 +13,11 @@
 from ..adapters.link import HANDSHAKE_TIMEOUT_S, Link, LinkClosedError, greet
 from ..clock import move_on_after, sleep
 from ..exceptions import FrameError
-from ..frames import (
-    AnyFrame,
-    GroupOrder,
-    GroupReply,
-    Heartbeat,
-    Hello,
-    ManifestPull,
-    ManifestPush,
-)
+from ..frames import AnyFrame, GroupOrder, GroupReply, Hello
 from ..orders import AnyOrder, AnyReply, decode_reply, encode_order
 from ..runtime import Runtime
 from ..settings import SidecarSettings
-from ..spread import compare_versions, push_frame, take_push
+from ..spread import beat, take_shared
 
 ORDER_TIMEOUT_MS = 1500.0
 _RECONNECT_MS = 200.0
@@ -112,39 +104,24 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(link.run_writer)
             nursery.start_soon(link.watch_silence, self._settings.silence_ms)
-            nursery.start_soon(self._beat, link)
+            nursery.start_soon(
+                beat,
+                link,
+                self._runtime,
+                self._settings.heartbeat_ms,
+            )
             while True:
                 self._take(link, await link.receive())
 
-    async def _beat(self, link: Link) -> None:
-        configuration = self._runtime.configuration
-        while True:
-            link.post(
-                Heartbeat(
-                    self._runtime.clock.stamp(),
-                    self._runtime.clock.now(),
-                    configuration.version,
-                    configuration.drains_version,
-                ),
-            )
-            await sleep(self._settings.heartbeat_ms)
-
     def _take(self, link: Link, frame: AnyFrame) -> None:
-        match frame:
-            case GroupReply():
-                waiter = self._waiters.get(frame.request)
-                if waiter is not None:
-                    waiter.reply = decode_reply(frame.payload)
-                    waiter.arrived.set()
-            case Heartbeat():
-                self._runtime.clock.receive(frame.stamp)
-                compare_versions(link, self._runtime.configuration, frame)
-            case ManifestPush():
-                take_push(self._runtime, frame)
-            case ManifestPull():
-                link.post(push_frame(self._runtime.configuration))
-            case _:
-                raise FrameError(f'unexpected {type(frame).__name__}')
+        if take_shared(link, self._runtime, frame):
+            return
+        if not isinstance(frame, GroupReply):
+            raise FrameError(f'unexpected {type(frame).__name__}')
+        waiter = self._waiters.get(frame.request)
+        if waiter is not None:
+            waiter.reply = decode_reply(frame.payload)
+            waiter.arrived.set()
 
     def _drop(self) -> None:
         self._link = None
--- a/src/amaranthrail/sidecar/service.py
+++ b/src/amaranthrail/sidecar/service.py
@@ -139,6 +139,8 @@
 
     def _configure(self, in_force: InForce) -> None:
         self._runtime.metrics.gauge('manifest_version', in_force.version)
+        for peer in tuple(self._peers):
+            peer.announce()
         for service in in_force.manifest.services:
             if service.name == self._settings.service:
                 self._slots.configure(service.slots, service.policies)
--- a/src/amaranthrail/spread.py
+++ b/src/amaranthrail/spread.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from .adapters.link import Link
+from .clock import sleep
 from .configuration import Configuration
 from .exceptions import ManifestError
-from .frames import Heartbeat, ManifestPull, ManifestPush
+from .frames import AnyFrame, Heartbeat, ManifestPull, ManifestPush
 from .runtime import Runtime
 
 
@@ -20,18 +21,25 @@
     )
 
 
-def compare_versions(
-    link: Link,
-    configuration: Configuration,
-    heard: Heartbeat,
-) -> None:
-    """Ask for what a peer's heartbeat shows to be newer; hand over if older."""
-    ahead = heard.manifest > configuration.version
-    if ahead or heard.drains > configuration.drains_version:
+def plain_heartbeat(runtime: Runtime) -> Heartbeat:
+    """Return a heartbeat that tells versions and no load."""
+    configuration = runtime.configuration
+    return Heartbeat(
+        runtime.clock.stamp(),
+        runtime.clock.now(),
+        configuration.version,
+        configuration.drains_version,
+    )
+
+
+def compare_versions(link: Link, runtime: Runtime, heard: Heartbeat) -> None:
+    """Ask for what a peer's heartbeat shows to be newer.
+
+    Nothing is sent unasked: a manifest can be megabytes, and a process hears
+    of a change from all its peers at once but needs it from one.
+    """
+    if runtime.pulls.wants(heard.manifest, heard.drains):
         link.post(ManifestPull())
-    behind = heard.manifest < configuration.version
-    if behind or heard.drains < configuration.drains_version:
-        link.post(push_frame(configuration))
 
 
 def take_push(runtime: Runtime, pushed: ManifestPush) -> None:
@@ -49,3 +57,25 @@
             str(configuration.version),
             'from a peer',
         )
+
+
+async def beat(link: Link, runtime: Runtime, interval_ms: float) -> None:
+    """Send heartbeats without load, for good."""
+    while True:
+        link.post(plain_heartbeat(runtime))
+        await sleep(interval_ms)
+
+
+def take_shared(link: Link, runtime: Runtime, frame: AnyFrame) -> bool:
+    """Take a frame that spreads the configuration; tell whether it was one."""
+    match frame:
+        case Heartbeat():
+            runtime.clock.receive(frame.stamp)
+            compare_versions(link, runtime, frame)
+        case ManifestPush():
+            take_push(runtime, frame)
+        case ManifestPull():
+            link.post(push_frame(runtime.configuration))
+        case _:
+            return False
+    return True
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -61,11 +61,11 @@
 def test_key_that_ran_is_known_in_a_log_outage(faulty: Fleet) -> None:
     key = 'before-the-outage'
     first = file_order(faulty, faulty.entries[0], key)
+    forgetful = faulty.entries[1]
     faulty.fault_platform(log='down')
+    forgetful.child.kill()
+    forgetful.child.restart()
     try:
-        forgetful = faulty.entries[1]
-        forgetful.child.kill()
-        forgetful.child.restart()
         faulty.wait_entry_ready(forgetful)
         again = file_order(faulty, forgetful, key)
         fresh = file_order(faulty, forgetful, 'in-the-outage')
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -12,7 +12,9 @@
     rule,
 )
 
+from amaranthrail.clock import Clock
 from amaranthrail.configuration import Configuration
+from amaranthrail.pulls import ASK_AGAIN_MS, Pulls
 from amaranthrail.records import CONTROL_STREAM, Drain, encode_record
 
 from . import build
@@ -103,6 +105,18 @@
     assert not reader.is_draining('u')
 
 
+def test_one_peer_is_asked_for_a_change() -> None:
+    now_s = [10.0]
+    clock = Clock(lambda: now_s[0], lambda: now_s[0])
+    pulls = Pulls(clock, Configuration())
+    assert pulls.wants(3, 0)
+    assert not any(pulls.wants(3, 0) for _ in range(4))
+    assert pulls.wants(4, 0)
+    now_s[0] += (ASK_AGAIN_MS + 1) / 1000
+    assert pulls.wants(4, 0)
+    assert not pulls.wants(0, 0)
+
+
 class OneManifest(RuleBasedStateMachine):
     """Drive readers that lag, are cut off, start late and hear peers."""
 
