--- a/src/amaranthrail/adapters/httpclient.py
+++ b/src/amaranthrail/adapters/httpclient.py
@@ -247,21 +247,3 @@
             self._idle.append((parser, stream))
             return
         await trio.aclose_forcefully(stream)
-
-
-async def call_once(
-    address: Address,
-    method: str,
-    target: str,
-    headers: HeaderList = (),
-    body: bytes = b'',
-) -> HttpAnswer:
-    """Return the answer to one request on a connection of its own."""
-    closing = ('connection', 'close')
-    return await HttpClient(address).call(
-        method,
-        target,
-        (*headers, closing),
-        body,
-        fresh=True,
-    )
--- a/src/amaranthrail/adapters/link.py
+++ b/src/amaranthrail/adapters/link.py
@@ -48,23 +48,12 @@
         self._outbox = bytearray()
         self._wake = trio.Event()
         self._heard_at = clock.now()
-        self._bytes_sent = 0
 
     @property
     def silent_ms(self) -> Millis:
         """Return for how long nothing has been received."""
         return Millis(self._clock.now() - self._heard_at)
 
-    @property
-    def bytes_sent(self) -> int:
-        """Return how many bytes have been sent."""
-        return self._bytes_sent
-
-    @property
-    def bytes_waiting(self) -> int:
-        """Return how many bytes wait for the writer."""
-        return len(self._outbox)
-
     def trust(self) -> None:
         """Accept frames of full size from now on."""
         self._decoder = FrameDecoder()
@@ -91,7 +80,6 @@
             await self._stream.send_all(payload)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise LinkClosedError('peer closed') from error
-        self._bytes_sent += len(payload)
 
     async def receive(self) -> AnyFrame:
         """Return the next frame. Raises LinkClosedError or FrameError."""
--- a/src/amaranthrail/adapters/listen.py
+++ b/src/amaranthrail/adapters/listen.py
@@ -10,6 +10,8 @@
 from ..exceptions import SettingError
 from .httpclient import Address
 
+_HANDSHAKE_TIMEOUT_S = 5.0
+
 StreamHandler = Callable[[trio.abc.Stream], Awaitable[None]]
 
 
@@ -52,6 +54,3 @@
         await handler(secure)
 
     return handle
-
-
-_HANDSHAKE_TIMEOUT_S = 5.0
--- a/src/amaranthrail/cli.py
+++ b/src/amaranthrail/cli.py
@@ -8,7 +8,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 from datetime import UTC, datetime
 from pathlib import Path
-from typing import Annotated, Any, TypeVar
+from typing import Annotated, Any, NoReturn, TypeVar
 
 import msgspec
 import trio
@@ -25,6 +25,7 @@
 EXIT_USAGE = 2
 EXIT_REFUSED = 3
 EXIT_UNKNOWN = 4
+_PIPE_WIDTH = 160
 
 _Answer = TypeVar('_Answer')
 
@@ -76,10 +77,9 @@
         return trio.run(call)
     except* ApiError as group:
         _fail(str(group.exceptions[0]), EXIT_FAILED)
-    raise AssertionError
 
 
-def _fail(message: str, code: int) -> None:
+def _fail(message: str, code: int) -> NoReturn:
     sys.stderr.write(f'amaranthrail: {message}\n')
     raise typer.Exit(code)
 
@@ -102,9 +102,6 @@
     console.print(table)
 
 
-_PIPE_WIDTH = 160
-
-
 def _read_manifest(path: Path) -> tuple[bytes, Manifest]:
     try:
         text = path.read_bytes()
@@ -114,7 +111,6 @@
         return text, parse_manifest(text)
     except ManifestError as error:
         _fail(f'{path} cannot be accepted:\n{error}', EXIT_REFUSED)
-    raise AssertionError
 
 
 @manifest_app.command('check')
--- a/src/amaranthrail/entry/exchange.py
+++ b/src/amaranthrail/entry/exchange.py
@@ -18,7 +18,7 @@
     Part,
     Refused,
 )
-from ..outcomes import Outcome, Reason, Refusal, not_run, unknown
+from ..outcomes import Reason, Refusal, not_run, unknown
 from ..types import RequestId
 
 #: The sidecar sends at most this far past the last acknowledged byte.
@@ -173,8 +173,3 @@
         return Reason(text)
     except ValueError:
         return Reason.UPSTREAM_BROKEN
-
-
-def is_unsure(failure: Refusal) -> bool:
-    """Tell whether the work may have run."""
-    return failure.outcome is Outcome.UNKNOWN
--- a/src/amaranthrail/follower.py
+++ b/src/amaranthrail/follower.py
@@ -32,15 +32,9 @@
         self._position = 0
         self._reachable = False
         self._caught_up = trio.Event()
-        self._advanced = trio.Event()
         self._first = 1
         self._retention_ms = 0
 
-    @property
-    def position(self) -> int:
-        """Return the offset of the last record taken in."""
-        return self._position
-
     @property
     def reachable(self) -> bool:
         """Tell whether the latest read succeeded."""
@@ -60,10 +54,6 @@
         """Return once the stream has been read to its end at least once."""
         await self._caught_up.wait()
 
-    async def wait_advanced(self) -> None:
-        """Return after the next read, successful or not."""
-        await self._advanced.wait()
-
     async def run(self) -> None:
         """Follow the stream for good."""
         backoff = _BACKOFF_MS
@@ -72,7 +62,6 @@
                 await self.read_once(POLL_WAIT_MS)
             except LogUnavailableError:
                 self._reachable = False
-                self._wake()
                 await sleep(backoff * random.uniform(0.5, 1))
                 backoff = min(_MAX_BACKOFF_MS, 2 * backoff)
             else:
@@ -86,7 +75,6 @@
         self._take(batch)
         if not batch.records:
             self._caught_up.set()
-        self._wake()
 
     def _take(self, batch: LogBatch) -> None:
         self._first = int(batch.first)
@@ -96,7 +84,3 @@
             if entry.offset > self._position:
                 self._position = int(entry.offset)
                 self._apply(self._first, entry)
-
-    def _wake(self) -> None:
-        self._advanced.set()
-        self._advanced = trio.Event()
--- a/src/amaranthrail/sidecar/worker.py
+++ b/src/amaranthrail/sidecar/worker.py
@@ -20,7 +20,6 @@
 
 #: Silence of the upstream in the middle of an answer that counts as broken.
 UPSTREAM_SILENCE_MS = 15_000.0
-_CHECK_MS = 20.0
 _HOP_HEADERS = frozenset(
     (
         'connection',
