Do not take a closed idle connection for a broken upstream

Cause, found by reading: an upstream may close a pooled connection at any moment; the next idempotent request on it failed as broken and cost a retry elsewhere. Change: where a pooled connection fails before the answer begins, idempotent work is sent once more on a fresh one. Keyed work never uses a pooled connection.

--- a/src/amaranthrail/adapters/httpclient.py
+++ b/src/amaranthrail/adapters/httpclient.py
@@ -4,7 +4,7 @@
 
 import ssl
 from collections import deque
-from collections.abc import AsyncGenerator, AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator, Awaitable
 from contextlib import aclosing, asynccontextmanager
 from dataclasses import dataclass
 
@@ -149,11 +149,12 @@
         ``fresh`` takes a new connection, so that a failure to connect proves
         that the server has not seen the request. Raises HttpError.
         """
+        pooled = bool(self._idle) and not fresh
         parser, stream = await self._connect(fresh=fresh)
         try:
             exchange = HttpExchange(parser, stream)
-            await self._send(parser, stream, method, target, headers, body)
-            await exchange.read_head()
+            send = self._send(parser, stream, method, target, headers, body)
+            await _begin(exchange, send, pooled=pooled)
             yield exchange
         finally:
             await self._give_back(parser, stream)
@@ -247,3 +248,18 @@
             self._idle.append((parser, stream))
             return
         await trio.aclose_forcefully(stream)
+
+
+async def _begin(
+    exchange: HttpExchange,
+    send: Awaitable[None],
+    *,
+    pooled: bool,
+) -> None:
+    """Send a request and read its answer's head, noting what failed."""
+    try:
+        await send
+        await exchange.read_head()
+    except HttpError as error:
+        error.pooled = pooled
+        raise
--- a/src/amaranthrail/exceptions.py
+++ b/src/amaranthrail/exceptions.py
@@ -30,13 +30,15 @@
 class HttpError(AmaranthrailError):
     """Report an HTTP exchange that broke.
 
-    ``sent`` tells whether the other side may have seen the request.
+    ``sent`` tells whether the other side may have seen the request, and
+    ``pooled`` whether the connection had served another before.
     """
 
     def __init__(self, message: str, *, sent: bool) -> None:
         """Keep the message and whether any byte may have been read."""
         super().__init__(message)
         self.sent = sent
+        self.pooled = False
 
 
 class LogUnavailableError(AmaranthrailError):
--- a/src/amaranthrail/sidecar/run.py
+++ b/src/amaranthrail/sidecar/run.py
@@ -85,6 +85,11 @@
         """Tell whether the upstream may have seen the request."""
         return self._started
 
+    @property
+    def begun(self) -> bool:
+        """Tell whether the answer has begun."""
+        return bool(self._status)
+
     @property
     def failure(self) -> Refusal | None:
         """Return why there is no whole answer, if so."""
--- a/src/amaranthrail/sidecar/worker.py
+++ b/src/amaranthrail/sidecar/worker.py
@@ -91,13 +91,24 @@
             run.scope.deadline = float('inf')
             self._runtime.timeline.add('run-started', run.dispatch.intent)
         try:
-            await self._relay(run)
+            await self._relay_retrying(run)
         except HttpError as error:
             self._fail(run, _refusal_of(error))
 
-    async def _relay(self, run: Run) -> None:
+    async def _relay_retrying(self, run: Run) -> None:
+        """Relay the answer; a pooled connection may have been closed."""
+        if run.dispatch.intent:
+            await self._relay(run, fresh=True)
+            return
+        try:
+            await self._relay(run, fresh=False)
+        except HttpError as error:
+            if run.begun or not error.pooled:
+                raise
+            await self._relay(run, fresh=True)
+
+    async def _relay(self, run: Run, *, fresh: bool) -> None:
         dispatch = run.dispatch
-        fresh = bool(dispatch.intent)
         with move_on_after(_head_bound(run)):
             async with self._upstream.exchange(
                 dispatch.method,
--- /dev/null
+++ b/tests/test_worker.py
@@ -0,0 +1,66 @@
+"""Run requests against an upstream that closes idle connections."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from amaranthrail.adapters.httpclient import Address, HttpClient
+from amaranthrail.outcomes import Outcome, Reason
+from amaranthrail.runtime import Runtime
+from amaranthrail.sidecar.gate import Gate
+from amaranthrail.sidecar.run import Run
+from amaranthrail.sidecar.slots import Slots
+from amaranthrail.sidecar.worker import Worker
+from amaranthrail.types import DomainName, ProcessName
+
+from . import build
+
+ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
+
+
+async def _answer_once(stream: trio.SocketStream) -> None:
+    async with stream:
+        await stream.receive_some(65_536)
+        await stream.send_all(ANSWER)
+
+
+async def _run_twice(**changes: object) -> list[Run]:
+    runtime = Runtime(ProcessName('p'), DomainName('d'))
+    gate = Gate('u', runtime.incarnation, runtime.clock, runtime.configuration)
+    listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+    port = listeners[0].socket.getsockname()[1]
+    upstream = HttpClient(Address('127.0.0.1', port))
+    worker = Worker(runtime, gate, Slots(runtime.clock, 1), upstream)
+    runs = [
+        Run(build.dispatch(name, 'i', **changes), runtime.clock.now())
+        for name in ('first', 'second')
+    ]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.serve_listeners, _answer_once, listeners)
+        for run in runs:
+            await worker.run(run)
+            await trio.sleep(0.05)
+        nursery.cancel_scope.cancel()
+    return runs
+
+
+@pytest.mark.parametrize('intent', ['', 'n'])
+def test_closed_idle_connection_is_no_failure(intent: str) -> None:
+    async def go() -> list[Run]:
+        return await _run_twice(intent=intent)
+
+    for run in trio.run(go):
+        assert run.failure is None
+        assert (run.ended, run.length) == (True, 2)
+
+
+def test_work_without_time_left_does_not_start() -> None:
+    async def go() -> list[Run]:
+        return await _run_twice(left_ms=50.0, cost_ms=60.0)
+
+    for run in trio.run(go):
+        assert not run.started
+        assert run.failure is not None
+        assert run.failure.outcome is Outcome.NOT_RUN
+        assert run.failure.reason is Reason.EXPIRED
