End the fleet on SIGINT also where a shell has set it to be ignored

Cause: started in the background of a script, the launcher kept SIGINT ignored and did not end; found by sending it.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -344,7 +344,9 @@
         given.services,
     )
     told = {signal.SIGINT, signal.SIGTERM}
-    signal.signal(signal.SIGTERM, _interrupt)
+    # A shell starts background work with SIGINT ignored.
+    for number in told:
+        signal.signal(number, _interrupt)
     with contextlib.suppress(KeyboardInterrupt), running_fleet(plan) as fleet:
         sys.stdout.write(f'{json.dumps(fleet.describe())}\n')
         sys.stdout.flush()
