--- a/src/amaranthrail/sidecar/peers.py
+++ b/src/amaranthrail/sidecar/peers.py
@@ -12,6 +12,7 @@
 from ..frames import (
     Ack,
     AnyFrame,
+    AskKey,
     Broken,
     Cancel,
     Dispatch,
@@ -22,8 +23,6 @@
     Heartbeat,
     Hello,
     Inquire,
-    ManifestPull,
-    ManifestPush,
     Refused,
     Resume,
     Welcome,
@@ -33,7 +32,7 @@
 from ..outcomes import Reason, Refusal
 from ..runtime import Runtime
 from ..settings import SidecarSettings
-from ..spread import compare_versions, push_frame, take_push
+from ..spread import take_shared
 from ..timeline import encode_events
 from ..types import RequestId
 from .gate import Gate
@@ -176,25 +175,16 @@
         )
 
     def _take(self, frame: AnyFrame, nursery: trio.Nursery) -> None:
+        if take_shared(self._link, self._runtime, frame):
+            return
         match frame:
             case Dispatch():
                 self._runtime.clock.receive(frame.stamp)
                 self._take_dispatch(frame, nursery)
             case Ack():
                 self._take_ack(frame)
-            case Heartbeat():
-                self._runtime.clock.receive(frame.stamp)
-                compare_versions(
-                    self._link,
-                    self._runtime.configuration,
-                    frame,
-                )
-            case Resume() | Inquire() | Cancel():
+            case Resume() | Inquire() | AskKey() | Cancel():
                 self._take_question(frame, nursery)
-            case ManifestPush():
-                take_push(self._runtime, frame)
-            case ManifestPull():
-                self._link.post(push_frame(self._runtime.configuration))
             case EventsAsk():
                 events = self._runtime.timeline.after(frame.after)
                 self._link.post(Events(frame.request, encode_events(events)))
@@ -213,7 +203,7 @@
 
     def _take_question(
         self,
-        frame: Resume | Inquire | Cancel,
+        frame: Resume | Inquire | AskKey | Cancel,
         nursery: trio.Nursery,
     ) -> None:
         gate = self._office.gate
@@ -226,6 +216,8 @@
                 self._answer(frame.request, run, nursery, progress)
             case Inquire():
                 self._take_inquiry(frame, nursery)
+            case AskKey():
+                self._take_key_question(frame, nursery)
             case Cancel():
                 self._cancel(frame.request)
 
@@ -240,6 +232,13 @@
         progress = Progress(inquiry.received)
         self._answer(inquiry.request, run, nursery, progress)
 
+    def _take_key_question(self, asked: AskKey, nursery: trio.Nursery) -> None:
+        run = self._office.gate.find_key(asked.key)
+        if run is None:
+            self._refuse(asked.request, Reason.KEY_UNKNOWN, 'never ran here')
+            return
+        self._answer(asked.request, run, nursery)
+
     def _take_dispatch(
         self,
         dispatch: Dispatch,
@@ -248,7 +247,7 @@
         found = self._office.gate.check(dispatch)
         if isinstance(found, Refusal):
             if found.reason is Reason.STALE_MANIFEST:
-                self._link.post(push_frame(self._runtime.configuration))
+                self.announce()
             self._refuse(dispatch.request, found.reason, found.detail)
             return
         if found is None:
