--- a/src/amaranthrail/frames.py
+++ b/src/amaranthrail/frames.py
@@ -6,6 +6,9 @@
 
 from __future__ import annotations
 
+import typing
+from types import MappingProxyType
+
 import msgpack
 import msgspec
 
@@ -242,11 +245,17 @@
 _MALFORMED = (
     msgpack.UnpackException,
     msgspec.ValidationError,
+    LookupError,
     ValueError,
     TypeError,
     RecursionError,
 )
 
+#: Converting to one class is fast; a union of all is built anew each time.
+_BY_TAG = MappingProxyType(
+    {kind.__struct_config__.tag: kind for kind in typing.get_args(AnyFrame)},
+)
+
 _encoder = msgspec.msgpack.Encoder()
 
 
@@ -270,6 +279,15 @@
         """
         try:
             self._unpacker.feed(received)
-            return [msgspec.convert(raw, AnyFrame) for raw in self._unpacker]
+            return [_typed(raw) for raw in self._unpacker]
         except _MALFORMED as error:
             raise FrameError(f'no valid frame: {error}') from error
+
+
+def _typed(raw: list[object]) -> AnyFrame:
+    """Return the frame that an unpacked array stands for."""
+    kind = _BY_TAG.get(raw[0])
+    if kind is None:
+        raise ValueError(f'no frame has tag {raw[0]!r:.40}')
+    frame: AnyFrame = msgspec.convert(raw, kind)
+    return frame
