Fix two tests whose verdict differed between runs

Cause: (1) test_expert_map: trio shuffles the tasks that may run, so a seed did not fix the course; "sidecars restart before effects" confirms a map in about half the seeds, and four of them had none. (2) the pair "sidecar paused and host list lags" counted peer-lost events by their number in a time line that keeps 4,096 events; old ones dropped out and the count went to -4. Change: trio's choice is seeded too; the trouble runs on 28 seeds instead of 4; events are counted after a stamp. Conclusion: faults of the tests, not of the product.

--- a/tests/evidence.py
+++ b/tests/evidence.py
@@ -5,6 +5,7 @@
 import json
 from collections import Counter
 from dataclasses import dataclass
+from typing import Any
 
 from standins.fleet import Fleet
 
@@ -18,11 +19,21 @@
     peers_lost: int
 
 
-def peers_lost(fleet: Fleet) -> int:
-    """Return how often the last entry has lost a sidecar so far."""
-    answer = fleet.admin_call('GET', '/v1/timeline')
-    name = fleet.entries[-1].name
+def peers_lost(fleet: Fleet, since: int) -> int:
+    """Return how often the last entry has lost a sidecar since a stamp."""
     return sum(
-        event['name'] == 'peer-lost' and event['process'] == name
-        for event in json.loads(answer.body)
+        event['name'] == 'peer-lost' and event['stamp'] > since
+        for event in _events(fleet)
     )
+
+
+def latest_stamp(fleet: Fleet) -> int:
+    """Return the stamp of the last entry's latest event."""
+    return max((event['stamp'] for event in _events(fleet)), default=0)
+
+
+def _events(fleet: Fleet) -> list[dict[str, Any]]:
+    """Return the events that the last entry still keeps of its own."""
+    answer = fleet.admin_call('GET', '/v1/timeline')
+    name = fleet.entries[-1].name
+    return [one for one in json.loads(answer.body) if one['process'] == name]
--- a/tests/rankbench.py
+++ b/tests/rankbench.py
@@ -5,15 +5,21 @@
 import random
 from dataclasses import dataclass, field
 
+import hypothesis
 import trio
+from trio._core import _run as trio_run
 
 from amaranthrail.clock import Clock
-from amaranthrail.orders import AnyOrder, AnyReply
+from amaranthrail.orders import AnyOrder, AnyReply, Confirm
 from amaranthrail.policy.experts import ExpertMap
 from amaranthrail.ports import EngineState
 from amaranthrail.runtime import new_incarnation
-from amaranthrail.sidecar.coordinator import ChangeResult, Coordinator
-from amaranthrail.sidecar.rank import Rank
+from amaranthrail.sidecar.coordinator import (
+    ChangeResult,
+    Coordinator,
+    Quorum,
+)
+from amaranthrail.sidecar.rank import QUIET_MS, Rank
 from standins.group import MapOrder, RankEngine
 
 RANKS = 4
@@ -59,10 +65,14 @@
         ]
         self.ranks = [self.make_rank(number) for number in range(RANKS)]
 
-    def make_rank(self, number: int) -> Rank:
+    def make_rank(
+        self,
+        number: int,
+        engine: MemoryEngine | None = None,
+    ) -> Rank:
         clock = Clock(trio.current_time, trio.current_time)
-        engine = MemoryEngine(self, self.engines[number])
-        return Rank(number, new_incarnation(), engine, MemoryWeights(), clock)
+        port = engine or MemoryEngine(self, self.engines[number])
+        return Rank(number, new_incarnation(), port, MemoryWeights(), clock)
 
     def goes_wrong(self, kind: str) -> bool:
         if self.random.random() >= getattr(self.trouble, kind):
@@ -208,6 +218,38 @@
         self._engine.order(name, order, self._world.step)
 
 
+class LateReleaseEngine(MemoryEngine):
+    """Have releases take effect as late as they may, just before a cancel."""
+
+    def __init__(self, world: World, engine: RankEngine) -> None:
+        super().__init__(world, engine)
+        self._on_its_way: list[tuple[float, MapOrder]] = []
+
+    @property
+    def on_its_way(self) -> int:
+        return len(self._on_its_way)
+
+    async def state(self) -> EngineState | None:
+        latest = trio.current_time() - MAX_EFFECT_S
+        self._apply([one for one in self._on_its_way if one[0] < latest])
+        return await super().state()
+
+    async def release(self, fence: int, version: int) -> bool:
+        await trio.lowlevel.checkpoint()
+        order = MapOrder(fence, version)
+        self._on_its_way.append((trio.current_time(), order))
+        return False
+
+    async def cancel(self, fence: int, version: int) -> bool:
+        self._apply(list(self._on_its_way))
+        return await super().cancel(fence, version)
+
+    def _apply(self, due: list[tuple[float, MapOrder]]) -> None:
+        for sent in due:
+            self._on_its_way.remove(sent)
+            self._engine.order('release', sent[1], self._world.step)
+
+
 class MemoryWeights:
     """Implement WeightStorePort with weights that are always there."""
 
@@ -216,9 +258,20 @@
         return True
 
 
+def schedule_by(seed: int) -> None:
+    """Have trio choose among the tasks that may run by this seed.
+
+    Trio shuffles them, from a sorted start where hypothesis is loaded.
+    """
+    assert hypothesis.__version__
+    assert trio_run._ALLOW_DETERMINISTIC_SCHEDULING
+    trio_run._r.seed(seed)
+
+
 async def run_world(world_of: tuple[int, Trouble, bool]) -> World:
     """Run two coordinators over a disturbed group; return what happened."""
     seed, trouble, fencing = world_of
+    schedule_by(seed)
     world = World(seed, trouble, fencing)
     with trio.move_on_after(RUN_S):
         async with trio.open_nursery() as nursery:
@@ -227,3 +280,56 @@
             nursery.start_soon(world.coordinate, 0, nursery)
             nursery.start_soon(world.coordinate, 1, nursery)
     return world
+
+
+async def run_restart_before_effect(fencing: bool) -> World:
+    """Restart a sidecar while its release is still on its way.
+
+    The last rank alone is told to confirm, and the next coordinator finds
+    it armed and not confirmed.
+    """
+    schedule_by(0)
+    world = World(0, Trouble(), fencing)
+    last = RANKS - 1
+    engine = LateReleaseEngine(world, world.engines[last])
+    world.ranks[last] = world.make_rank(last, engine)
+
+    async def send(rank: int, order: AnyOrder) -> AnyReply | None:
+        if isinstance(order, Confirm) and rank != last:
+            return None
+        return await world.ranks[rank].take(order)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(world.step_forever)
+        await trio.sleep(QUIET_MS / 1000)
+        await _change_once(world, Coordinator(0, RANKS, send))
+        assert engine.on_its_way == 1
+        world.ranks[last] = world.make_rank(last, engine)
+        await _settle_for(5.0, world, nursery)
+        nursery.cancel_scope.cancel()
+    return world
+
+
+async def _change_once(world: World, coordinator: Coordinator) -> None:
+    gathered = await coordinator.gather()
+    assert isinstance(gathered, Quorum)
+    old = ExpertMap(gathered.ranks)
+    new = ExpertMap(tuple(reversed(gathered.ranks)))
+    world.results.append(await coordinator.change(gathered, new, old))
+
+
+async def _settle_for(
+    seconds: float,
+    world: World,
+    nursery: trio.Nursery,
+) -> None:
+    async def send(rank: int, order: AnyOrder) -> AnyReply | None:
+        return await world.send(nursery, rank, order)
+
+    coordinator = Coordinator(1, RANKS, send)
+    with trio.move_on_after(seconds):
+        while True:
+            gathered = await coordinator.gather()
+            if isinstance(gathered, ChangeResult):
+                world.results.append(gathered)
+            await trio.sleep(0.1)
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -13,7 +13,7 @@
 from standins.launch import FleetPlan
 
 from .client import file_order
-from .evidence import Seen, peers_lost
+from .evidence import Seen, latest_stamp, peers_lost
 from .faults import FAULTS, Fault
 from .filing import Workload, check_promises
 
@@ -78,7 +78,7 @@
 
 
 def _try(fleet: Fleet, faults: tuple[Fault, ...]) -> None:
-    lost_before = peers_lost(fleet)
+    since = latest_stamp(fleet)
     name = '+'.join(fault.name.replace(' ', '-') for fault in faults)
     workload = Workload(fleet, name)
     workload.start()
@@ -92,7 +92,7 @@
     workload.stop()
     told = check_promises(fleet, workload)
     assert told['ran'], told
-    lost = peers_lost(fleet) - lost_before
+    lost = peers_lost(fleet, since)
     seen = Seen(told, workload.longest_s, lost)
     # Of two faults one may hide the other.
     noticeable = [fault.felt for fault in faults if fault.felt is not None]
--- a/tests/test_expert_map.py
+++ b/tests/test_expert_map.py
@@ -8,10 +8,10 @@
 
 from amaranthrail.sidecar.coordinator import ChangeResult
 
-from .rankbench import Trouble, World, run_world
+from .rankbench import Trouble, World, run_restart_before_effect, run_world
 
 SEEDS = range(4)
-#: Only seed 12 and 27 of these catch a rank that forgets what it confirmed.
+#: Seeds 4 and 18 catch a rank that forgets what it confirmed.
 MANY_SEEDS = range(28)
 TROUBLES = {
     'orders lost': Trouble(lost=0.05, reply_lost=0.05),
@@ -50,14 +50,13 @@
 def test_no_step_has_two_maps(name: str, fencing: bool) -> None:
     confirmed = 0
     happened: set[str] = set()
-    for seed in MANY_SEEDS if 'confirms' in name else SEEDS:
-        world = _run(seed, TROUBLES[name], fencing=fencing)
+    trouble = TROUBLES[name]
+    for seed in MANY_SEEDS if trouble.release_late else SEEDS:
+        world = _run(seed, trouble, fencing=fencing)
         assert not world.mixed_steps(), f'seed {seed}: {world.mixed_steps()}'
         confirmed += world.results.count(ChangeResult.CONFIRMED)
         happened |= set(world.happened)
-    wanted = {
-        kind for kind in vars(TROUBLES[name]) if vars(TROUBLES[name])[kind]
-    }
+    wanted = {kind for kind in vars(trouble) if vars(trouble)[kind]}
     assert happened == wanted
     assert confirmed
 
@@ -68,3 +67,16 @@
     assert confirmed > 3
     assert not world.mixed_steps()
     assert world.held <= confirmed
+
+
+@pytest.mark.parametrize(
+    'fencing', [True, False], ids=['fencing', 'no fencing']
+)
+def test_release_lands_after_its_sidecar_restarted(fencing: bool) -> None:
+    clock = MockClock(autojump_threshold=0)
+    world = trio.run(run_restart_before_effect, fencing, clock=clock)
+    assert not world.mixed_steps()
+    assert world.results.count(ChangeResult.RANK_MISSING) > 1
+    versions = {engine.version for engine in world.engines}
+    assert len(versions) == 1
+    assert versions != {0}
