Send an answer's news in the run's own turn; make histograms once

Cause (profile of entry and sidecar at light load): each request made an HDR histogram that was thrown away (0.1 ms, in entry and sidecar), the sidecar gave a free slot only after one more turn of the scheduler, and each answer had a task of its own that woke a turn after the upstream's bytes. What is left is spread over h11, trio's turns and waking processes that sleep: a request costs either process 1.4 to 2 ms CPU at light load and 0.7 to 0.9 when busy.

--- a/src/amaranthrail/metrics.py
+++ b/src/amaranthrail/metrics.py
@@ -71,7 +71,12 @@
     def latency(self, name: str) -> Latency:
         """Return the latency of a name, made at first use."""
         full_name = f'amaranthrail_{name}_seconds'
-        return self._latencies.setdefault(full_name, Latency())
+        latency = self._latencies.get(full_name)
+        if latency is None:
+            # Making a histogram takes 0.1 ms, so none is made in vain.
+            latency = Latency()
+            self._latencies[full_name] = latency
+        return latency
 
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
         """Add to a counter; a name always goes with the same labels."""
--- a/src/amaranthrail/sidecar/peers.py
+++ b/src/amaranthrail/sidecar/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import trio
@@ -37,7 +38,7 @@
 from ..types import RequestId
 from .gate import Gate
 from .rank import Rank
-from .run import NOTHING_SENT, Progress, Run
+from .run import NOTHING_SENT, News, Progress, Run
 from .slots import Slots
 from .worker import Worker
 
@@ -105,7 +106,7 @@
         self._office = office
         self._runtime = office.runtime
         self._connections = connections
-        self._sending: dict[str, trio.CancelScope] = {}
+        self._sending: dict[str, Callable[[], None]] = {}
 
     async def serve(self) -> None:
         """Serve the connection until it ends."""
@@ -120,6 +121,8 @@
             self._runtime.metrics.count('peer_connections_ended')
             _log.info('connection ended', cause=str(group.exceptions[0]))
         finally:
+            for request in tuple(self._sending):
+                self._stop_sending(request)
             if hello is not None:
                 self._connections.remove(hello)
 
@@ -180,11 +183,11 @@
         match frame:
             case Dispatch():
                 self._runtime.clock.receive(frame.stamp)
-                self._take_dispatch(frame, nursery)
+                self._take_dispatch(frame)
             case Ack():
                 self._take_ack(frame)
             case Resume() | Inquire() | AskKey() | Cancel():
-                self._take_question(frame, nursery)
+                self._take_question(frame)
             case EventsAsk():
                 events = self._runtime.timeline.after(frame.after)
                 self._link.post(Events(frame.request, encode_events(events)))
@@ -204,7 +207,6 @@
     def _take_question(
         self,
         frame: Resume | Inquire | AskKey | Cancel,
-        nursery: trio.Nursery,
     ) -> None:
         gate = self._office.gate
         match frame:
@@ -213,15 +215,15 @@
                 if run is None:
                     gate.void(frame.request)
                 progress = Progress(frame.received, has_head=frame.has_head)
-                self._answer(frame.request, run, nursery, progress)
+                self._answer(frame.request, run, progress)
             case Inquire():
-                self._take_inquiry(frame, nursery)
+                self._take_inquiry(frame)
             case AskKey():
-                self._take_key_question(frame, nursery)
+                self._take_key_question(frame)
             case Cancel():
                 self._cancel(frame.request)
 
-    def _take_inquiry(self, inquiry: Inquire, nursery: trio.Nursery) -> None:
+    def _take_inquiry(self, inquiry: Inquire) -> None:
         if inquiry.incarnation != self._runtime.incarnation:
             # What an earlier incarnation ran cannot be known here.
             stamp = self._runtime.clock.stamp()
@@ -230,20 +232,16 @@
             return
         run = self._office.gate.inquire(inquiry.intent)
         progress = Progress(inquiry.received)
-        self._answer(inquiry.request, run, nursery, progress)
+        self._answer(inquiry.request, run, progress)
 
-    def _take_key_question(self, asked: AskKey, nursery: trio.Nursery) -> None:
+    def _take_key_question(self, asked: AskKey) -> None:
         run = self._office.gate.find_key(asked.key)
         if run is None:
             self._refuse(asked.request, Reason.KEY_UNKNOWN, 'never ran here')
             return
-        self._answer(asked.request, run, nursery)
+        self._answer(asked.request, run)
 
-    def _take_dispatch(
-        self,
-        dispatch: Dispatch,
-        nursery: trio.Nursery,
-    ) -> None:
+    def _take_dispatch(self, dispatch: Dispatch) -> None:
         found = self._office.gate.check(dispatch)
         if isinstance(found, Refusal):
             if found.reason is Reason.STALE_MANIFEST:
@@ -254,44 +252,46 @@
             found = Run(dispatch, self._runtime.clock.now())
             self._office.gate.enter(found)
             self._office.runs.start_soon(self._office.worker.run, found)
-        self._answer(dispatch.request, found, nursery)
+        self._answer(dispatch.request, found)
 
     def _answer(
         self,
         request: str,
         run: Run | None,
-        nursery: trio.Nursery,
         progress: Progress = NOTHING_SENT,
     ) -> None:
         if run is None:
             self._refuse(request, Reason.VOIDED, 'never arrived')
             return
-        nursery.start_soon(
-            self._send_answer,
-            RequestId(request),
-            run,
-            progress,
-        )
+        self._stop_sending(request)
+        news = self._make_news(RequestId(request), run, progress)
+        stop = run.follow(news)
+        if not run.ended:
+            self._sending[request] = stop
 
-    async def _send_answer(
+    def _make_news(
         self,
         request: RequestId,
         run: Run,
         progress: Progress,
-    ) -> None:
-        scope = trio.CancelScope()
-        self._sending[request] = scope
-        with scope:
-            while True:
-                await run.wait_beyond(progress)
-                ended = run.ended
-                stamp = self._runtime.clock.stamp()
-                for frame in run.frames(request, progress, stamp):
-                    self._link.post(frame)
-                progress = Progress(run.length, has_head=True)
-                if ended:
-                    break
-        self._sending.pop(request, None)
+    ) -> News:
+        """Return what posts the part of an answer not posted yet."""
+
+        def post_news() -> None:
+            nonlocal progress
+            stamp = self._runtime.clock.stamp()
+            for frame in run.frames(request, progress, stamp):
+                self._link.post(frame)
+            progress = Progress(run.length, has_head=run.begun)
+            if run.ended:
+                self._sending.pop(request, None)
+
+        return post_news
+
+    def _stop_sending(self, request: str) -> None:
+        stop = self._sending.pop(request, None)
+        if stop is not None:
+            stop()
 
     def _take_ack(self, ack: Ack) -> None:
         gate = self._office.gate
@@ -305,9 +305,7 @@
         run = self._office.gate.find(request)
         if run is None or run.dispatch.intent:
             return
-        sending = self._sending.pop(request, None)
-        if sending is not None:
-            sending.cancel()
+        self._stop_sending(request)
         run.scope.cancel()
 
     def _refuse(self, request: str, reason: Reason, detail: str) -> None:
--- a/src/amaranthrail/sidecar/run.py
+++ b/src/amaranthrail/sidecar/run.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 import trio
 import xxhash
@@ -15,6 +17,8 @@
 WINDOW_BYTES = 262_144
 #: Keyed answers are kept whole, for late askers, up to this size.
 MAX_KEYED_BYTES = 1_048_576
+#: Called after a run has changed.
+News = Callable[[], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +49,8 @@
         self._whole = False
         self._failure: Refusal | None = None
         self._scope = trio.CancelScope()
-        self._changed = trio.Event()
+        self._acknowledged = trio.Event()
+        self._followers: list[News] = []
 
     @property
     def dispatch(self) -> Dispatch:
@@ -140,19 +145,25 @@
         if surplus > 0:
             del self._kept[:surplus]
             self._dropped += surplus
-            self._notify()
+            self._acknowledged.set()
+            self._acknowledged = trio.Event()
 
     async def wait_window(self) -> None:
         """Return once the entry has taken enough to read on."""
         while len(self._kept) > self._limit():
-            await self._changed.wait()
+            await self._acknowledged.wait()
 
-    async def wait_beyond(self, progress: Progress) -> None:
-        """Return once there is more to send than that."""
-        while not self.ended and self.length == progress.sent:
-            if self._status and not progress.has_head:
-                return
-            await self._changed.wait()
+    def follow(self, news: News) -> Callable[[], None]:
+        """Call back now and after each change; return what ends that.
+
+        Called back at once and not in a task of its own, an answer leaves
+        one turn of the scheduler earlier.
+        """
+        news()
+        if self.ended:
+            return _nothing
+        self._followers.append(news)
+        return partial(self._leave, news)
 
     def frames(
         self,
@@ -185,10 +196,19 @@
     def _finish(self, now: float) -> None:
         self._finished_at = now
         self._notify()
+        self._followers.clear()
 
     def _notify(self) -> None:
-        self._changed.set()
-        self._changed = trio.Event()
+        for news in tuple(self._followers):
+            news()
+
+    def _leave(self, news: News) -> None:
+        if news in self._followers:
+            self._followers.remove(news)
+
+
+def _nothing() -> None:
+    """End the following of a run that had ended before."""
 
 
 def _refused(request: RequestId, stamp: int, failure: Refusal) -> Refused:
--- a/src/amaranthrail/sidecar/slots.py
+++ b/src/amaranthrail/sidecar/slots.py
@@ -75,6 +75,8 @@
         self._waiting.append(work)
         self._turns.append(turn)
         self._start_next()
+        if turn.is_set():
+            return
         try:
             await turn.wait()
         except trio.Cancelled:
