Ask all sidecars of a key at once; take a record that was read as appended

Causes, found on the last reading: - in a log outage an entry asked the service's sidecars about a key one after the other, 1.5 s each: two silent ones used up the deadline. All are asked at once now (entry/inquiries, taken out of filings). - a key's work ended at the deadline of the caller who began it, also for a caller who had longer; the later one goes on now. - a short deadline was spent on waiting for the log to the last, so that the caller heard nothing; 100 ms are kept to tell it. - a record whose append took effect and whose answer was lost was appended again until an answer came, and all later facts of the shard waited; now reading the record back counts as its answer. - RankState repeated EngineState's fields, copied by position; it holds one. Tests: two silent sidecars in an outage; two deadlines for one key with a slow log. The fault "log loses answers" is now felt by appends that the entry read back (status: appends_unanswered): nobody waits for it any more, which was its evidence before. Faults of a pair nest, and end also where one cannot begin: a paused upstream cannot be told to stall, and a trial of all pairs failed in a row behind that pair.

--- a/src/amaranthrail/entry/administration.py
+++ b/src/amaranthrail/entry/administration.py
@@ -124,6 +124,7 @@
             'filings_lost': len(core.shards.ledger.lost()),
             'facts_waiting': core.shards.waiting,
             'shard_appends': core.shards.appends,
+            'shard_appends_unanswered': core.shards.unanswered,
             'retries_saved': core.budget.saved,
         }
         for name, reading in gauges.items():
@@ -154,6 +155,7 @@
                     'open': len(ledger.open()),
                     'lost': len(ledger.lost()),
                     'waiting_for_log': core.shards.waiting,
+                    'appends_unanswered': core.shards.unanswered,
                 },
                 'upstreams': [
                     _peer_status(peer, configuration)
--- a/src/amaranthrail/entry/filings.py
+++ b/src/amaranthrail/entry/filings.py
@@ -19,7 +19,7 @@
 from .call import Call, Target, make_dispatch
 from .conclusions import Answer, Conclusions, key_reused, recorded_answer
 from .core import EntryCore
-from .exchange import Exchange
+from .inquiries import ASK_TIMEOUT_MS, Inquiries
 from .ledger import Filing
 from .peers import Peer
 
@@ -27,24 +27,29 @@
 ATTACH_WAIT_MS = 1000.0
 #: How long an intent may take to appear in the log.
 RECORD_WAIT_MS = 4000.0
+#: What is left of a deadline to tell a caller that nothing was recorded.
+REFUSAL_MS = 100.0
 #: An intent claimed later than this after it was made is not dispatched. A
 #: sidecar remembers a void for longer than that (gate.VOID_KEPT_MS).
 MAX_CLAIM_MS = 4500.0
 MAX_ATTEMPTS = 3
 _SWEEP_MS = 500.0
 _ASK_AGAIN_MS = 100.0
-_ASK_TIMEOUT_MS = 1500.0
 _SPREAD_MS = 1000
 _log = part_logger('filings')
 
 
 @dataclass(slots=True)
 class _Job:
-    """Share one key's work between the callers who ask for it here."""
+    """Share one key's work between the callers who ask for it here.
+
+    ``deadline`` is that of the caller who began it, in monotonic milliseconds.
+    """
 
     digest: str
     done: trio.Event
     answer: Answer
+    deadline: float = 0
 
 
 class Filings:
@@ -57,6 +62,7 @@
         self._ledger = core.shards.ledger
         self._nursery = nursery
         self._conclusions = Conclusions(core.runtime, core.shards)
+        self._inquiries = Inquiries(core)
         self._jobs: dict[FilingKey, _Job] = {}
 
     @property
@@ -74,21 +80,16 @@
                 'send an Idempotency-Key',
             )
         digest = request_digest(call)
-        job = self._jobs.get(key)
-        if job is None:
-            refusal = not_run(
-                Reason.LOG_UNAVAILABLE, 'the log has not answered'
-            )
-            job = _Job(digest, trio.Event(), refusal)
-            self._jobs[key] = job
-            self._nursery.start_soon(self._work, key, call, job)
-        elif job.digest != digest:
-            return key_reused(key)
-        with move_on_after(call.left_ms(self._runtime.clock)):
-            await job.done.wait()
-        if job.done.is_set():
-            return job.answer
-        return unknown(Reason.STILL_RUNNING, 'ask again with the same key')
+        while True:
+            job = self._join(key, call, digest)
+            if job.digest != digest:
+                return key_reused(key)
+            with move_on_after(call.left_ms(self._runtime.clock)):
+                await job.done.wait()
+            if not job.done.is_set():
+                return unknown(Reason.STILL_RUNNING, 'ask again with this key')
+            if not _ended_early(job, call):
+                return job.answer
 
     async def sweep(self) -> None:
         """Settle, for good, open keys that nobody has concluded in time."""
@@ -127,6 +128,18 @@
                 await self._ledger.wait_changed()
         return self._state_of(key) is state
 
+    def _join(self, key: FilingKey, call: Call, digest: str) -> _Job:
+        """Return the work on a key, begun by this call if there is none."""
+        job = self._jobs.get(key)
+        if job is None:
+            refusal = not_run(
+                Reason.LOG_UNAVAILABLE, 'the log has not answered'
+            )
+            job = _Job(digest, trio.Event(), refusal, call.deadline)
+            self._jobs[key] = job
+            self._nursery.start_soon(self._work, key, call, job)
+        return job
+
     def _state_of(self, key: FilingKey) -> FilingState | None:
         filing = self._ledger.find(key)
         return None if filing is None else filing.state
@@ -167,27 +180,24 @@
 
     async def _caught_up(self, key: FilingKey, call: Call) -> bool:
         shard = self._core.shards.shard_of(key)
-        with move_on_after(
-            min(RECORD_WAIT_MS, call.left_ms(self._runtime.clock))
-        ):
+        with move_on_after(self._record_wait_ms(call)):
             await shard.follower.wait_caught_up()
             return True
         return False
 
+    def _record_wait_ms(self, call: Call) -> float:
+        left_ms = call.left_ms(self._runtime.clock)
+        return min(RECORD_WAIT_MS, left_ms - REFUSAL_MS)
+
     async def _unrecorded(self, call: Call, detail: str) -> Answer:
         """Answer while the record cannot be trusted to be up to date.
 
         The request itself is not run, but its key may have been, at another
         entry: a sidecar that knows the key has the answer.
         """
-        key = call.key or ''
-        for peer in self._core.roster.connected(call.route.service.name):
-            exchange = peer.ask_key(key)
-            answer = await self._collect(peer, exchange, _ASK_TIMEOUT_MS)
-            if isinstance(answer, HttpAnswer):
-                return answer
-            if answer.outcome is Outcome.UNKNOWN:
-                return answer
+        known = await self._inquiries.ask_key(call)
+        if known is not None:
+            return known
         return not_run(Reason.LOG_UNAVAILABLE, detail, int(MS_PER_SECOND))
 
     async def _attach(self, filing: Filing, digest: str) -> Answer:
@@ -266,8 +276,7 @@
 
     async def _wait_claimed(self, intent: Intent, call: Call) -> Filing | None:
         """Return who holds the key once the intent's place is known."""
-        left_ms = call.left_ms(self._runtime.clock)
-        with move_on_after(min(RECORD_WAIT_MS, left_ms)):
+        with move_on_after(self._record_wait_ms(call)):
             while True:
                 filing = self._ledger.find(FilingKey(intent.key))
                 is_newer = filing and filing.intent.attempt >= intent.attempt
@@ -299,26 +308,11 @@
         exchange = peer.dispatch(partial(make_dispatch, call, clock, target))
         where = f'{intent.key} to {peer.name}'
         self._runtime.timeline.add('filing-dispatched', intent.id, where)
-        answer = await self._collect(
+        answer = await self._inquiries.collect(
             peer, exchange, self._conclusions.left_ms(intent)
         )
         return await self._take_outcome(intent, answer)
 
-    async def _collect(
-        self,
-        peer: Peer,
-        exchange: Exchange,
-        bound_ms: float,
-    ) -> Answer:
-        """Return the whole answer of an exchange, or why there is none."""
-        answer: Answer = unknown(Reason.PEER_GONE, 'no answer in time')
-        try:
-            with move_on_after(bound_ms):
-                answer = await _read_answer(exchange)
-        finally:
-            peer.close(exchange, cancel=False)
-        return answer
-
     async def _take_outcome(self, intent: Intent, answer: Answer) -> Answer:
         if isinstance(answer, HttpAnswer):
             self._conclusions.ran(intent, answer)
@@ -337,7 +331,7 @@
             self._conclusions.left_ms(intent)
             + self._core.settings.lost_grace_ms
         )
-        give_up = self._runtime.clock.now() + max(_ASK_TIMEOUT_MS, give_up_ms)
+        give_up = self._runtime.clock.now() + max(ASK_TIMEOUT_MS, give_up_ms)
         while self._runtime.clock.now() < give_up:
             filing = self._ledger.find(FilingKey(intent.key))
             if filing is not None and filing.state is not FilingState.OPEN:
@@ -345,7 +339,7 @@
             peer = self._core.roster.find(intent.upstream)
             if peer is not None and peer.is_gone(intent.incarnation):
                 break
-            answer = await self._ask(peer, intent)
+            answer = await self._inquiries.ask_intent(peer, intent)
             if answer is not None:
                 return await self._take_outcome(intent, answer)
             await sleep(_ASK_AGAIN_MS)
@@ -356,15 +350,6 @@
             f'{intent.upstream} ended before it told the outcome',
         )
 
-    async def _ask(self, peer: Peer | None, intent: Intent) -> Answer | None:
-        """Return what the sidecar says, None where it cannot be asked now."""
-        if peer is None or not peer.connected:
-            return None
-        exchange = peer.inquire(intent.id)
-        answer = await self._collect(peer, exchange, _ASK_TIMEOUT_MS)
-        gone = isinstance(answer, Refusal) and answer.reason is Reason.PEER_GONE
-        return None if gone else answer
-
     async def _voided(self, intent: Intent, reason: Reason) -> Answer:
         """Return "not run" once it is on record, so that all may try again."""
         with move_on_after(RECORD_WAIT_MS):
@@ -373,14 +358,13 @@
         return not_run(reason, 'voided before its start', int(MS_PER_SECOND))
 
 
-async def _read_answer(exchange: Exchange) -> Answer:
-    head = await exchange.wait_head()
-    if isinstance(head, Refusal):
-        return head
-    body = await exchange.read_rest()
-    if isinstance(body, Refusal):
-        return body
-    return HttpAnswer(head.status, head.headers, body)
+def _ended_early(job: _Job, call: Call) -> bool:
+    """Tell whether only its beginner's deadline has ended the work."""
+    answer = job.answer
+    if not isinstance(answer, Refusal) or answer.outcome is not Outcome.NOT_RUN:
+        return False
+    timed = answer.reason in {Reason.EXPIRED, Reason.LOG_UNAVAILABLE}
+    return timed and job.deadline < call.deadline
 
 
 def _may_try_again(answer: Answer) -> bool:
--- a/src/amaranthrail/entry/ledger.py
+++ b/src/amaranthrail/entry/ledger.py
@@ -82,8 +82,8 @@
         """Return after the next record has been applied."""
         await self._changed.wait()
 
-    def apply(self, shard: int, entry: LogEntry) -> None:
-        """Take in the next record of a shard."""
+    def apply(self, shard: int, entry: LogEntry) -> str:
+        """Take in the next record of a shard; return its id, if it has one."""
         record = decode_record(entry.text)
         if isinstance(record, FilingBatch):
             for fact in record.facts:
@@ -92,6 +92,7 @@
             self._skipped += 1
         self._changed.set()
         self._changed = trio.Event()
+        return '' if record is None else record.id
 
     def forget(self, shard: int, first: int) -> None:
         """Drop the keys whose last record the log no longer keeps."""
--- a/src/amaranthrail/entry/shards.py
+++ b/src/amaranthrail/entry/shards.py
@@ -7,7 +7,7 @@
 import trio
 import xxhash
 
-from ..clock import Clock, sleep
+from ..clock import Clock, move_on_after, sleep
 from ..exceptions import LogUnavailableError
 from ..follower import Follower
 from ..ports import LogEntry, LogPort
@@ -29,7 +29,8 @@
     """Follow one shard and append to it, in order, until it is there.
 
     An append may take effect though its answer is lost, so a record is
-    appended again until one append is answered; copies change nothing.
+    appended again until an append is answered or the record has been read;
+    copies change nothing.
     """
 
     def __init__(
@@ -49,6 +50,9 @@
         self._waiting: deque[AnyFact] = deque()
         self._wake = trio.Event()
         self._appends = 0
+        self._unanswered = 0
+        self._appending = ''
+        self._seen = trio.Event()
         self._follower = Follower(log, shard_stream(number), self._apply)
 
     @property
@@ -66,6 +70,11 @@
         """Return how many records have been appended."""
         return self._appends
 
+    @property
+    def unanswered(self) -> int:
+        """Return how many records were read back before an answer came."""
+        return self._unanswered
+
     def add(self, fact: AnyFact) -> None:
         """Queue a fact; it is kept until the log has it."""
         self._waiting.append(fact)
@@ -89,13 +98,24 @@
 
     async def _append_batch(self) -> None:
         facts = tuple(self._waiting)[:_MAX_BATCH_FACTS]
-        text = encode_record(FilingBatch(id=new_record_id(), facts=facts))
+        record = FilingBatch(id=new_record_id(), facts=facts)
+        self._appending = record.id
+        self._seen = trio.Event()
+        text = encode_record(record)
         while not await self._append(text):
-            await sleep(_REPEAT_MS)
+            if await self._was_seen():
+                self._unanswered += 1
+                break
         for _ in facts:
             self._waiting.popleft()
         self._appends += 1
 
+    async def _was_seen(self) -> bool:
+        """Wait before a repeat; tell whether the record has been read."""
+        with move_on_after(_REPEAT_MS):
+            await self._seen.wait()
+        return self._seen.is_set()
+
     async def _append(self, text: bytes) -> bool:
         try:
             await self._log.append(shard_stream(self._number), text)
@@ -104,7 +124,8 @@
         return True
 
     def _apply(self, _first: int, entry: LogEntry) -> None:
-        self._ledger.apply(self._number, entry)
+        if self._ledger.apply(self._number, entry) == self._appending:
+            self._seen.set()
 
 
 class Shards:
@@ -144,6 +165,11 @@
         """Return how many records have been appended."""
         return sum(shard.appends for shard in self._shards)
 
+    @property
+    def unanswered(self) -> int:
+        """Return how many records were read back before an answer came."""
+        return sum(shard.unanswered for shard in self._shards)
+
     def add(self, fact: AnyFact) -> None:
         """Queue a fact for its key's shard."""
         self.shard_of(FilingKey(fact.key)).add(fact)
--- a/src/amaranthrail/orders.py
+++ b/src/amaranthrail/orders.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from .exceptions import FrameError
+from .ports import EngineState
 
 MAX_RANKS = 1024
 
@@ -69,23 +70,16 @@
 
 
 class RankState(msgspec.Struct, frozen=True, tag='state'):
-    """Tell what a rank's engine uses and what it is armed with.
+    """Tell the state of a rank's engine.
 
-    ``armed`` is 0 where there is nothing; ``joining`` marks an engine that
-    has started anew and holds until it gets the group's map.
+    ``confirmed`` tells whether what is armed will come to use; the sidecar
+    may know that before its engine does.
     """
 
     incarnation: str
     rank: int
-    step: int
-    version: int
-    ranks: tuple[int, ...]
-    armed: int = 0
-    armed_ranks: tuple[int, ...] = ()
-    confirmed: bool = False
-    joining: bool = False
-    loads: tuple[float, ...] = ()
-    speed: float = 1
+    engine: EngineState
+    confirmed: bool
 
 
 class Done(msgspec.Struct, frozen=True, tag='done'):
--- a/src/amaranthrail/sidecar/coordinator.py
+++ b/src/amaranthrail/sidecar/coordinator.py
@@ -49,19 +49,21 @@
     @property
     def version(self) -> int:
         """Return the version that the group uses."""
-        return max(state.version for state in self.states)
+        return max(state.engine.version for state in self.states)
 
     @property
     def ranks(self) -> tuple[int, ...]:
         """Return the map that the group uses."""
-        newest = max(self.states, key=lambda state: state.version)
-        return newest.ranks
+        newest = max(self.states, key=lambda state: state.engine.version)
+        return newest.engine.ranks
 
     @property
     def settled(self) -> bool:
         """Tell whether all ranks use one map and none is armed."""
-        same = {state.version for state in self.states} == {self.version}
-        busy = any(state.armed or state.joining for state in self.states)
+        same = {state.engine.version for state in self.states} == {self.version}
+        busy = any(
+            state.engine.armed or state.engine.joining for state in self.states
+        )
         return same and not busy
 
 
@@ -131,7 +133,7 @@
         now = Quorum(quorum.ballot, tuple(states))
         if not now.settled or now.version != quorum.version:
             return ChangeResult.WITHDRAWN
-        step = max(state.step for state in states) + STEPS_AHEAD
+        step = max(state.engine.step for state in states) + STEPS_AHEAD
         version = now.ballot.fence
         armed = await self._order_all(
             now,
@@ -161,8 +163,8 @@
         return ChangeResult.RANK_MISSING
 
     async def _settle(self, quorum: Quorum) -> ChangeResult:
-        armed = max(state.armed for state in quorum.states)
-        pending = [state for state in quorum.states if state.armed]
+        armed = max(state.engine.armed for state in quorum.states)
+        pending = [state for state in quorum.states if state.engine.armed]
         if not pending:
             return await self._join(quorum)
         if any(_is_confirmed(state, armed) for state in quorum.states):
@@ -176,14 +178,14 @@
             lambda state: Withdraw(
                 quorum.ballot,
                 state.incarnation,
-                state.armed,
+                state.engine.armed,
             ),
         )
         return ChangeResult.WITHDRAWN if done else ChangeResult.RANK_MISSING
 
     async def _join(self, quorum: Quorum) -> ChangeResult:
         """Give the group's map to engines that have started anew."""
-        joining = [state for state in quorum.states if state.joining]
+        joining = [state for state in quorum.states if state.engine.joining]
         version = quorum.version
         armed = await self._order_each(
             joining,
@@ -191,7 +193,7 @@
                 quorum.ballot,
                 state.incarnation,
                 version,
-                state.step,
+                state.engine.step,
                 quorum.ranks,
             ),
         )
@@ -256,4 +258,4 @@
 
 
 def _is_confirmed(state: RankState, armed: int) -> bool:
-    return state.confirmed or state.version == armed
+    return state.confirmed or state.engine.version == armed
--- a/src/amaranthrail/sidecar/group.py
+++ b/src/amaranthrail/sidecar/group.py
@@ -135,10 +135,10 @@
     """Return the load that the ranks report, None while they report none."""
     experts = [0.0 for _ in quorum.ranks]
     for state in quorum.states:
-        for expert, load in enumerate(state.loads):
+        for expert, load in enumerate(state.engine.loads):
             experts[expert] += load
     if not any(experts):
         return None
     by_rank = sorted(quorum.states, key=lambda one: one.rank)
-    speeds = tuple(one.speed for one in by_rank)
+    speeds = tuple(one.engine.speed for one in by_rank)
     return GroupLoad(tuple(experts), speeds)
--- a/src/amaranthrail/sidecar/rank.py
+++ b/src/amaranthrail/sidecar/rank.py
@@ -19,7 +19,7 @@
     RankState,
     Withdraw,
 )
-from ..ports import EngineState, RankEnginePort, WeightStorePort
+from ..ports import RankEnginePort, WeightStorePort
 from ..types import Incarnation
 
 NO_BALLOT = Ballot(0, -1)
@@ -148,30 +148,8 @@
         # A release may take effect though its answer was lost, so a map once
         # confirmed here counts as confirmed.
         sure = bool(state.armed) and state.armed == self._confirming
-        return rank_state(self._incarnation, self._number, state, sure=sure)
+        confirmed = state.confirmed or sure
+        return RankState(self._incarnation, self._number, state, confirmed)
 
     def _decline(self, reason: str) -> Declined:
         return Declined(reason, self._promised)
-
-
-def rank_state(
-    incarnation: Incarnation,
-    number: int,
-    state: EngineState,
-    *,
-    sure: bool,
-) -> RankState:
-    """Return the reply that tells an engine's state."""
-    return RankState(
-        incarnation,
-        number,
-        state.step,
-        state.version,
-        state.ranks,
-        state.armed,
-        state.armed_ranks,
-        state.confirmed or sure,
-        state.joining,
-        state.loads,
-        state.speed,
-    )
--- a/tests/evidence.py
+++ b/tests/evidence.py
@@ -17,6 +17,7 @@
     told: Counter[str]
     longest_s: float
     peers_lost: int
+    appends_unanswered: int
 
 
 def peers_lost(fleet: Fleet, since: int) -> int:
@@ -27,6 +28,14 @@
     )
 
 
+def appends_unanswered(fleet: Fleet) -> int:
+    """Return how many appends the last entry had no answer to."""
+    status = fleet.status(fleet.entries[-1])
+    assert status
+    found: int = status['filings']['appends_unanswered']
+    return found
+
+
 def latest_stamp(fleet: Fleet) -> int:
     """Return the stamp of the last entry's latest event."""
     return max((event['stamp'] for event in _events(fleet)), default=0)
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -48,6 +48,10 @@
     return seen.told['unknown 504'] > 0
 
 
+def _answers_were_lost(seen: Seen) -> bool:
+    return seen.appends_unanswered > 0
+
+
 def _somebody_was_refused(seen: Seen) -> bool:
     return seen.told['not-run 503'] > 0
 
@@ -151,7 +155,7 @@
         'log loses answers',
         _platform(log='lose_answers'),
         _platform(log='up'),
-        _somebody_waited,
+        _answers_were_lost,
     ),
     Fault(
         'host list lags',
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -6,14 +6,16 @@
 import random
 import time
 from collections.abc import Iterator
+from typing import Any
 
 import pytest
 
+from standins.calling import http_call, wait_until
 from standins.fleet import Fleet, running_fleet
-from standins.launch import FleetPlan
+from standins.launch import EntryProcess, FleetPlan, UpstreamProcess
 
 from .client import file_order
-from .evidence import Seen, latest_stamp, peers_lost
+from .evidence import Seen, appends_unanswered, latest_stamp, peers_lost
 from .faults import FAULTS, Fault
 from .filing import Workload, check_promises
 
@@ -77,23 +79,82 @@
     assert (ran.count(key), ran.count('in-the-outage')) == (1, 0)
 
 
+def test_outage_with_silent_sidecars_finds_who_ran_the_key(
+    faulty: Fleet,
+) -> None:
+    key = 'known-to-one'
+    wait_until(lambda: _status(faulty, faulty.entries[0])['log_reachable'])
+    first = file_order(faulty, faulty.entries[0], key)
+    assert first.status == 200, first.body
+    forgetful = faulty.entries[1]
+    silent = [
+        one.sidecar
+        for one in faulty.of_service('sportello')
+        if not _ran_at(one, key)
+    ]
+    assert len(silent) == 2
+    faulty.fault_platform(log='down')
+    forgetful.child.kill()
+    forgetful.child.restart()
+    try:
+        faulty.wait_entry_ready(forgetful)
+        wait_until(lambda: _connected(faulty, forgetful) == 3)
+        for sidecar in silent:
+            sidecar.pause()
+        again = file_order(faulty, forgetful, key)
+    finally:
+        for sidecar in silent:
+            sidecar.resume()
+        faulty.fault_platform(log='up')
+    assert (again.status, again.body) == (200, first.body)
+
+
+def _ran_at(upstream: UpstreamProcess, key: str) -> bool:
+    runs = http_call(upstream.url, 'GET', '/control/runs').json()
+    return key in {run['key'] for run in runs}
+
+
+def _connected(fleet: Fleet, entry: EntryProcess) -> int:
+    upstreams = _status(fleet, entry)['upstreams']
+    return sum(one['connected'] for one in upstreams)
+
+
+def _status(fleet: Fleet, entry: EntryProcess) -> dict[str, Any]:
+    status: dict[str, Any] | None = fleet.status(entry)
+    assert status
+    return status
+
+
 def _try(fleet: Fleet, faults: tuple[Fault, ...]) -> None:
     since = latest_stamp(fleet)
+    unanswered = appends_unanswered(fleet)
     name = '+'.join(fault.name.replace(' ', '-') for fault in faults)
     workload = Workload(fleet, name)
     workload.start()
     time.sleep(BEFORE_S)
-    for fault in faults:
-        fault.begin(fleet)
-    time.sleep(HOLD_S)
-    for fault in faults:
-        fault.end(fleet)
+    _hold(fleet, faults)
     time.sleep(AFTER_S)
     workload.stop()
     told = check_promises(fleet, workload)
     assert told['ran'], told
     lost = peers_lost(fleet, since)
-    seen = Seen(told, workload.longest_s, lost)
+    unanswered = appends_unanswered(fleet) - unanswered
+    seen = Seen(told, workload.longest_s, lost, unanswered)
     # Of two faults one may hide the other.
     noticeable = [fault.felt for fault in faults if fault.felt is not None]
     assert not noticeable or any(felt(seen) for felt in noticeable), seen
+
+
+def _hold(fleet: Fleet, faults: tuple[Fault, ...]) -> None:
+    """Have the faults for a while, the first within the others.
+
+    A paused process cannot be told of its faults, so the one that pauses,
+    which is listed first, begins last.
+    """
+    try:
+        for fault in reversed(faults):
+            fault.begin(fleet)
+        time.sleep(HOLD_S)
+    finally:
+        for fault in faults:
+            fault.end(fleet)
--- a/tests/test_same_key.py
+++ b/tests/test_same_key.py
@@ -37,6 +37,40 @@
     ]
 
 
+def test_later_deadline_goes_on_where_the_first_ended(fleet: Fleet) -> None:
+    entry = fleet.entries[0]
+    fleet.fault_platform(log='slow')
+    try:
+        with ThreadPoolExecutor(2) as pool:
+            hurried = pool.submit(
+                file_order,
+                fleet,
+                entry,
+                'hurried',
+                headers={'X-Deadline-Ms': '500'},
+            )
+            wait_until(lambda: _is_open(fleet) or hurried.done())
+            patient = pool.submit(
+                file_order,
+                fleet,
+                entry,
+                'hurried',
+                headers={'X-Deadline-Ms': '20000'},
+            )
+            first, second = hurried.result(), patient.result()
+    finally:
+        fleet.fault_platform(log='up')
+    assert first.headers['x-outcome'] in {'not-run', 'unknown'}
+    assert second.status == 200, second.body
+    counts = Counter(run['key'] for run in fleet.runs('sportello'))
+    assert counts['hurried'] == 1
+
+
+def _is_open(fleet: Fleet) -> bool:
+    status = fleet.status(fleet.entries[0])
+    return bool(status and status['filings']['waiting_for_log'])
+
+
 def test_key_again_after_its_outcome(fleet: Fleet) -> None:
     first = file_order(fleet, fleet.entries[0], 'again')
     later = [file_order(fleet, entry, 'again') for entry in fleet.entries * 3]
