Keep connected upstreams when the host list is empty

Seen in a new test: with a lag of 10 s the list of a young platform is empty, the entries dropped all upstreams that answered, and callers were told 503 "no-replica".

--- a/src/amaranthrail/entry/roster.py
+++ b/src/amaranthrail/entry/roster.py
@@ -64,7 +64,9 @@
             while True:
                 hosts = await self._hosts.hosts()
                 self._reachable = hosts is not None
-                if hosts is not None:
+                # A list without any host is no reason to drop those that
+                # answer; which of them are gone, their connections tell.
+                if hosts:
                     self._update(hosts, nursery)
                 await sleep(self._access.settings.hosts_interval_ms)
 
