--- a/src/amaranthrail/entry/filings.py
+++ b/src/amaranthrail/entry/filings.py
@@ -9,24 +9,20 @@
 
 import trio
 
-from ..adapters.httpclient import HttpAnswer
 from ..clock import MS_PER_SECOND, move_on_after, sleep
-from ..logs import part_logger
 from ..outcomes import Outcome, Reason, Refusal, not_run, unknown
-from ..policy.pick import rendezvous
 from ..records import FilingState, Intent, Resolution
 from ..types import FilingKey
 from .call import Call, Target, make_dispatch
 from .conclusions import Answer, Conclusions, key_reused, recorded_answer
 from .core import EntryCore
-from .inquiries import ASK_TIMEOUT_MS, Inquiries
+from .inquiries import Inquiries
 from .ledger import Filing
 from .peers import Peer
+from .settlement import RECORD_WAIT_MS, Settlement
 
 #: How long another entry's intent is left alone before its sidecar is asked.
 ATTACH_WAIT_MS = 1000.0
-#: How long an intent may take to appear in the log.
-RECORD_WAIT_MS = 4000.0
 #: What is left of a deadline to tell a caller that nothing was recorded.
 REFUSAL_MS = 100.0
 #: An intent claimed later than this after it was made is not dispatched. A
@@ -34,9 +30,6 @@
 MAX_CLAIM_MS = 4500.0
 MAX_ATTEMPTS = 3
 _SWEEP_MS = 500.0
-_ASK_AGAIN_MS = 100.0
-_SPREAD_MS = 1000
-_log = part_logger('filings')
 
 
 @dataclass(slots=True)
@@ -63,6 +56,11 @@
         self._nursery = nursery
         self._conclusions = Conclusions(core.runtime, core.shards)
         self._inquiries = Inquiries(core)
+        self._settlement = Settlement(
+            core,
+            self._conclusions,
+            self._inquiries,
+        )
         self._jobs: dict[FilingKey, _Job] = {}
 
     @property
@@ -98,7 +96,9 @@
             self._core.shards.forget_expired()
             for filing in self._ledger.open():
                 key = FilingKey(filing.intent.key)
-                if key not in self._jobs and self._is_overdue(filing):
+                if key not in self._jobs and self._settlement.is_overdue(
+                    filing
+                ):
                     unsure = unknown(Reason.STILL_RUNNING)
                     job = _Job(filing.intent.digest, trio.Event(), unsure)
                     self._jobs[key] = job
@@ -144,16 +144,10 @@
         filing = self._ledger.find(key)
         return None if filing is None else filing.state
 
-    def _is_overdue(self, filing: Filing) -> bool:
-        # Entries take turns, so that one settles while the others look on.
-        turn = rendezvous(filing.intent.id, self._runtime.incarnation)
-        grace = self._core.settings.lost_grace_ms + turn % _SPREAD_MS
-        return self._runtime.clock.wall() > filing.intent.deadline + grace
-
     async def _settle_overdue(self, key: FilingKey, job: _Job) -> None:
         filing = self._ledger.find(key)
         if filing is not None and filing.state is FilingState.OPEN:
-            job.answer = await self._settle(filing.intent)
+            job.answer = await self._settlement.settle(filing.intent)
         self._finish(key, job)
 
     async def _work(self, key: FilingKey, call: Call, job: _Job) -> None:
@@ -212,23 +206,15 @@
         """Wait for its owner to conclude an attempt, then ask the sidecar."""
         key = FilingKey(intent.key)
         with move_on_after(ATTACH_WAIT_MS):
-            while self._is_open(intent):
+            while self._settlement.is_open(intent):
                 await self._ledger.wait_changed()
-        if self._is_open(intent):
-            return await self._settle(intent)
+        if self._settlement.is_open(intent):
+            return await self._settlement.settle(intent)
         filing = self._ledger.find(key)
         if filing is None:
             return unknown(Reason.KEY_LOST, 'the record has expired')
         return recorded_answer(filing)
 
-    def _is_open(self, intent: Intent) -> bool:
-        filing = self._ledger.find(FilingKey(intent.key))
-        return (
-            filing is not None
-            and filing.intent.id == intent.id
-            and filing.state is FilingState.OPEN
-        )
-
     async def _attempt(
         self,
         key: FilingKey,
@@ -301,7 +287,9 @@
         moved = peer.incarnation != intent.incarnation
         if late or moved or not peer.takes_work:
             self._conclusions.void(intent, 'never dispatched')
-            return await self._voided(intent, Reason.WRONG_INCARNATION)
+            return await self._settlement.voided(
+                intent, Reason.WRONG_INCARNATION
+            )
         version = self._runtime.configuration.version
         target = Target(intent.incarnation, version, intent.id)
         clock = self._runtime.clock
@@ -311,51 +299,7 @@
         answer = await self._inquiries.collect(
             peer, exchange, self._conclusions.left_ms(intent)
         )
-        return await self._take_outcome(intent, answer)
-
-    async def _take_outcome(self, intent: Intent, answer: Answer) -> Answer:
-        if isinstance(answer, HttpAnswer):
-            self._conclusions.ran(intent, answer)
-            return answer
-        if answer.outcome is Outcome.NOT_RUN:
-            self._conclusions.void(intent, answer.reason.value)
-            return await self._voided(intent, answer.reason)
-        if answer.reason is Reason.PEER_GONE:
-            return await self._settle(intent)
-        self._conclusions.lost(intent, answer.reason.value)
-        return answer
-
-    async def _settle(self, intent: Intent) -> Answer:
-        """Ask the sidecar until it answers, is gone, or time is up."""
-        give_up_ms = (
-            self._conclusions.left_ms(intent)
-            + self._core.settings.lost_grace_ms
-        )
-        give_up = self._runtime.clock.now() + max(ASK_TIMEOUT_MS, give_up_ms)
-        while self._runtime.clock.now() < give_up:
-            filing = self._ledger.find(FilingKey(intent.key))
-            if filing is not None and filing.state is not FilingState.OPEN:
-                return recorded_answer(filing)
-            peer = self._core.roster.find(intent.upstream)
-            if peer is not None and peer.is_gone(intent.incarnation):
-                break
-            answer = await self._inquiries.ask_intent(peer, intent)
-            if answer is not None:
-                return await self._take_outcome(intent, answer)
-            await sleep(_ASK_AGAIN_MS)
-        self._conclusions.lost(intent, 'sidecar gone')
-        _log.warning('filing lost', key=intent.key, upstream=intent.upstream)
-        return unknown(
-            Reason.PEER_GONE,
-            f'{intent.upstream} ended before it told the outcome',
-        )
-
-    async def _voided(self, intent: Intent, reason: Reason) -> Answer:
-        """Return "not run" once it is on record, so that all may try again."""
-        with move_on_after(RECORD_WAIT_MS):
-            while self._is_open(intent):
-                await self._ledger.wait_changed()
-        return not_run(reason, 'voided before its start', int(MS_PER_SECOND))
+        return await self._settlement.take_outcome(intent, answer)
 
 
 def _ended_early(job: _Job, call: Call) -> bool:
--- /dev/null
+++ b/src/amaranthrail/entry/settlement.py
@@ -0,0 +1,99 @@
+"""Settle what became of attempts, by the record or by the sidecar's word."""
+
+from __future__ import annotations
+
+from ..adapters.httpclient import HttpAnswer
+from ..clock import MS_PER_SECOND, move_on_after, sleep
+from ..logs import part_logger
+from ..outcomes import Outcome, Reason, not_run, unknown
+from ..policy.pick import rendezvous
+from ..records import FilingState, Intent
+from ..types import FilingKey
+from .conclusions import Answer, Conclusions, recorded_answer
+from .core import EntryCore
+from .inquiries import ASK_TIMEOUT_MS, Inquiries
+from .ledger import Filing
+
+#: How long an intent or a void may take to appear in the log.
+RECORD_WAIT_MS = 4000.0
+_ASK_AGAIN_MS = 100.0
+_SPREAD_MS = 1000
+_log = part_logger('filings')
+
+
+class Settlement:
+    """Bring every attempt that has been claimed to its conclusion."""
+
+    def __init__(
+        self,
+        core: EntryCore,
+        conclusions: Conclusions,
+        inquiries: Inquiries,
+    ) -> None:
+        """Take who writes conclusions and who asks sidecars."""
+        self._core = core
+        self._runtime = core.runtime
+        self._ledger = core.shards.ledger
+        self._conclusions = conclusions
+        self._inquiries = inquiries
+
+    def is_overdue(self, filing: Filing) -> bool:
+        """Tell whether nobody has concluded an open key in time."""
+        # Entries take turns, so that one settles while the others look on.
+        turn = rendezvous(filing.intent.id, self._runtime.incarnation)
+        grace = self._core.settings.lost_grace_ms + turn % _SPREAD_MS
+        return self._runtime.clock.wall() > filing.intent.deadline + grace
+
+    def is_open(self, intent: Intent) -> bool:
+        """Tell whether an attempt holds its key and has no conclusion."""
+        filing = self._ledger.find(FilingKey(intent.key))
+        return (
+            filing is not None
+            and filing.intent.id == intent.id
+            and filing.state is FilingState.OPEN
+        )
+
+    async def take_outcome(self, intent: Intent, answer: Answer) -> Answer:
+        """Conclude an attempt by the answer of its dispatch or inquiry."""
+        if isinstance(answer, HttpAnswer):
+            self._conclusions.ran(intent, answer)
+            return answer
+        if answer.outcome is Outcome.NOT_RUN:
+            self._conclusions.void(intent, answer.reason.value)
+            return await self.voided(intent, answer.reason)
+        if answer.reason is Reason.PEER_GONE:
+            return await self.settle(intent)
+        self._conclusions.lost(intent, answer.reason.value)
+        return answer
+
+    async def settle(self, intent: Intent) -> Answer:
+        """Ask the sidecar until it answers, is gone, or time is up."""
+        give_up_ms = (
+            self._conclusions.left_ms(intent)
+            + self._core.settings.lost_grace_ms
+        )
+        give_up = self._runtime.clock.now() + max(ASK_TIMEOUT_MS, give_up_ms)
+        while self._runtime.clock.now() < give_up:
+            filing = self._ledger.find(FilingKey(intent.key))
+            if filing is not None and filing.state is not FilingState.OPEN:
+                return recorded_answer(filing)
+            peer = self._core.roster.find(intent.upstream)
+            if peer is not None and peer.is_gone(intent.incarnation):
+                break
+            answer = await self._inquiries.ask_intent(peer, intent)
+            if answer is not None:
+                return await self.take_outcome(intent, answer)
+            await sleep(_ASK_AGAIN_MS)
+        self._conclusions.lost(intent, 'sidecar gone')
+        _log.warning('filing lost', key=intent.key, upstream=intent.upstream)
+        return unknown(
+            Reason.PEER_GONE,
+            f'{intent.upstream} ended before it told the outcome',
+        )
+
+    async def voided(self, intent: Intent, reason: Reason) -> Answer:
+        """Return "not run" once it is on record, so that all may try again."""
+        with move_on_after(RECORD_WAIT_MS):
+            while self.is_open(intent):
+                await self._ledger.wait_changed()
+        return not_run(reason, 'voided before its start', int(MS_PER_SECOND))
