Take out dead state; scan for expired keys only when the log has trimmed

No change of behaviour. An entry went over all keys once a shard, twice a second, to drop those below the log's oldest offset; it does so now when that offset has risen. Twins: waiting for an attempt's conclusion stood twice (settlement, filings), waiting for a shard to be read stood beside Shards.wait_caught_up, and renewing a lost key rebuilt the conclusion that it holds; what has been renewed is remembered only for keys that are still lost. Dead: the worker's gate, the count of peer connections, a reason that nobody gives, a wrapper around Configuration.apply.

--- a/src/amaranthrail/entry/filings.py
+++ b/src/amaranthrail/entry/filings.py
@@ -96,9 +96,8 @@
             self._core.shards.forget_expired()
             for filing in self._ledger.open():
                 key = FilingKey(filing.intent.key)
-                if key not in self._jobs and self._settlement.is_overdue(
-                    filing
-                ):
+                overdue = self._settlement.is_overdue(filing)
+                if overdue and key not in self._jobs:
                     unsure = unknown(Reason.STILL_RUNNING)
                     job = _Job(filing.intent.digest, trio.Event(), unsure)
                     self._jobs[key] = job
@@ -173,9 +172,8 @@
         return outcome
 
     async def _caught_up(self, key: FilingKey, call: Call) -> bool:
-        shard = self._core.shards.shard_of(key)
         with move_on_after(self._record_wait_ms(call)):
-            await shard.follower.wait_caught_up()
+            await self._core.shards.wait_caught_up(key)
             return True
         return False
 
@@ -205,10 +203,7 @@
     async def _follow(self, intent: Intent) -> Answer:
         """Wait for its owner to conclude an attempt, then ask the sidecar."""
         key = FilingKey(intent.key)
-        with move_on_after(ATTACH_WAIT_MS):
-            while self._settlement.is_open(intent):
-                await self._ledger.wait_changed()
-        if self._settlement.is_open(intent):
+        if not await self._settlement.wait_concluded(intent, ATTACH_WAIT_MS):
             return await self._settlement.settle(intent)
         filing = self._ledger.find(key)
         if filing is None:
--- a/src/amaranthrail/entry/ledger.py
+++ b/src/amaranthrail/entry/ledger.py
@@ -47,6 +47,7 @@
         """Start with no key known."""
         self._filings: dict[FilingKey, Filing] = {}
         self._pending: dict[FilingKey, Filing] = {}
+        self._kept_from: dict[int, int] = {}
         self._skipped = 0
         self._contradictions = 0
         self._changed = trio.Event()
@@ -96,6 +97,9 @@
 
     def forget(self, shard: int, first: int) -> None:
         """Drop the keys whose last record the log no longer keeps."""
+        if first <= self._kept_from.get(shard, 0):
+            return
+        self._kept_from[shard] = first
         expired = [
             key
             for key, filing in self._filings.items()
--- a/src/amaranthrail/entry/service.py
+++ b/src/amaranthrail/entry/service.py
@@ -13,7 +13,6 @@
 from ..clock import sleep
 from ..follower import Follower
 from ..logs import part_logger
-from ..ports import LogEntry
 from ..records import CONTROL_STREAM
 from ..runtime import Runtime
 from ..settings import EntrySettings
@@ -57,7 +56,7 @@
         self._control = Follower(
             HttpLog(settings.platform),
             CONTROL_STREAM,
-            self._apply_control,
+            self._runtime.configuration.apply,
         )
         self._core = EntryCore(
             self._runtime,
@@ -107,9 +106,6 @@
             nursery.cancel_scope.cancel()
         _log.info('ended')
 
-    def _apply_control(self, first: int, entry: LogEntry) -> None:
-        self._runtime.configuration.apply(first, entry)
-
     def _peer_tls(self) -> ssl.SSLContext | None:
         files = self._settings.peer_tls
         return None if files is None else client_context(files)
--- a/src/amaranthrail/entry/settlement.py
+++ b/src/amaranthrail/entry/settlement.py
@@ -44,14 +44,12 @@
         grace = self._core.settings.lost_grace_ms + turn % _SPREAD_MS
         return self._runtime.clock.wall() > filing.intent.deadline + grace
 
-    def is_open(self, intent: Intent) -> bool:
-        """Tell whether an attempt holds its key and has no conclusion."""
-        filing = self._ledger.find(FilingKey(intent.key))
-        return (
-            filing is not None
-            and filing.intent.id == intent.id
-            and filing.state is FilingState.OPEN
-        )
+    async def wait_concluded(self, intent: Intent, bound_ms: float) -> bool:
+        """Wait while an attempt holds its key open; tell if it ended."""
+        with move_on_after(bound_ms):
+            while self._is_open(intent):
+                await self._ledger.wait_changed()
+        return not self._is_open(intent)
 
     async def take_outcome(self, intent: Intent, answer: Answer) -> Answer:
         """Conclude an attempt by the answer of its dispatch or inquiry."""
@@ -93,7 +91,13 @@
 
     async def voided(self, intent: Intent, reason: Reason) -> Answer:
         """Return "not run" once it is on record, so that all may try again."""
-        with move_on_after(RECORD_WAIT_MS):
-            while self.is_open(intent):
-                await self._ledger.wait_changed()
+        await self.wait_concluded(intent, RECORD_WAIT_MS)
         return not_run(reason, 'voided before its start', int(MS_PER_SECOND))
+
+    def _is_open(self, intent: Intent) -> bool:
+        filing = self._ledger.find(FilingKey(intent.key))
+        return (
+            filing is not None
+            and filing.intent.id == intent.id
+            and filing.state is FilingState.OPEN
+        )
--- a/src/amaranthrail/entry/upkeep.py
+++ b/src/amaranthrail/entry/upkeep.py
@@ -12,8 +12,6 @@
 from ..ports import LogPort
 from ..records import (
     CONTROL_STREAM,
-    Conclusion,
-    FilingState,
     ManifestSnapshot,
     encode_record,
     new_record_id,
@@ -76,24 +74,21 @@
 
     def renew_lost(self) -> None:
         """Queue again the lost keys whose last record grows old."""
+        renewed: dict[str, int] = {}
         for filing in self._shards.ledger.lost():
-            known = self._renewed.get(filing.intent.id) == filing.offset
-            due = self._is_due(filing.recorded_at, filing.intent.id)
-            if due and not known:
-                self._renewed[filing.intent.id] = filing.offset
+            intent = filing.intent.id
+            queued = self._renewed.get(intent, 0)
+            due = self._is_due(filing.recorded_at, intent)
+            if due and queued != filing.offset:
+                queued = filing.offset
                 self._renew(filing)
+            renewed[intent] = queued
+        self._renewed = renewed
 
     def _renew(self, filing: Filing) -> None:
-        reason = filing.conclusion.reason if filing.conclusion else ''
         self._shards.add(filing.intent)
-        self._shards.add(
-            Conclusion(
-                key=filing.intent.key,
-                intent=filing.intent.id,
-                state=FilingState.LOST,
-                reason=reason,
-            ),
-        )
+        if filing.conclusion is not None:
+            self._shards.add(filing.conclusion)
 
     def _is_due(self, recorded_at: int, subject: str) -> bool:
         retention = self._control.retention_ms
--- a/src/amaranthrail/outcomes.py
+++ b/src/amaranthrail/outcomes.py
@@ -31,7 +31,6 @@
     NO_CAPACITY = 'no-capacity'
     NO_REPLICA = 'no-replica'
     LOG_UNAVAILABLE = 'log-unavailable'
-    SHUTTING_DOWN = 'shutting-down'
     DRAINING = 'draining'
     EXPIRED = 'expired'
     WRONG_INCARNATION = 'wrong-incarnation'
--- a/src/amaranthrail/sidecar/peers.py
+++ b/src/amaranthrail/sidecar/peers.py
@@ -64,16 +64,6 @@
     def __init__(self) -> None:
         """Start with no connection."""
         self._latest: dict[str, tuple[int, trio.CancelScope]] = {}
-        self._open = 0
-
-    @property
-    def open(self) -> int:
-        """Return how many connections are open."""
-        return self._open
-
-    def count(self, change: int) -> None:
-        """Count a connection in or out."""
-        self._open += change
 
     def replace(self, hello: Hello, scope: trio.CancelScope) -> bool:
         """Make a connection its entry's only one; tell if it is the latest."""
--- a/src/amaranthrail/sidecar/service.py
+++ b/src/amaranthrail/sidecar/service.py
@@ -61,7 +61,6 @@
         self._slots = Slots(self._runtime.clock, settings.slots)
         self._worker = Worker(
             self._runtime,
-            self._gate,
             self._slots,
             HttpClient(settings.upstream_address),
         )
--- a/src/amaranthrail/sidecar/worker.py
+++ b/src/amaranthrail/sidecar/worker.py
@@ -14,7 +14,6 @@
 from ..policy.queueing import Waiting
 from ..runtime import Runtime
 from ..types import HeaderList
-from .gate import Gate
 from .run import MAX_KEYED_BYTES, Run
 from .slots import Slots
 
@@ -42,13 +41,11 @@
     def __init__(
         self,
         runtime: Runtime,
-        gate: Gate,
         slots: Slots,
         upstream: HttpClient,
     ) -> None:
-        """Take the gate that was passed, the slots and the upstream."""
+        """Take the upstream and its slots."""
         self._runtime = runtime
-        self._gate = gate
         self._slots = slots
         self._upstream = upstream
 
--- a/tests/test_worker.py
+++ b/tests/test_worker.py
@@ -8,7 +8,6 @@
 from amaranthrail.adapters.httpclient import Address, HttpClient
 from amaranthrail.outcomes import Outcome, Reason
 from amaranthrail.runtime import Runtime
-from amaranthrail.sidecar.gate import Gate
 from amaranthrail.sidecar.run import Run
 from amaranthrail.sidecar.slots import Slots
 from amaranthrail.sidecar.worker import Worker
@@ -27,11 +26,10 @@
 
 async def _run_twice(**changes: object) -> list[Run]:
     runtime = Runtime(ProcessName('p'), DomainName('d'))
-    gate = Gate('u', runtime.incarnation, runtime.clock, runtime.configuration)
     listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
     port = listeners[0].socket.getsockname()[1]
     upstream = HttpClient(Address('127.0.0.1', port))
-    worker = Worker(runtime, gate, Slots(runtime.clock, 1), upstream)
+    worker = Worker(runtime, Slots(runtime.clock, 1), upstream)
     runs = [
         Run(build.dispatch(name, 'i', **changes), runtime.clock.now())
         for name in ('first', 'second')
