Serve probes and keep links by one piece of code each

No change of behaviour. The entry's link to a sidecar and a rank's link to another had the same loop (writer, silence, beat, frames): spread.exchange_frames. Health, readiness and metrics were answered alike in three places: adapters/probes.

--- /dev/null
+++ b/src/amaranthrail/adapters/probes.py
@@ -0,0 +1,27 @@
+"""Answer what platforms and collectors ask of every process."""
+
+from __future__ import annotations
+
+from ..metrics import Metrics
+from .httpserver import Reply
+from .problem import send_json
+
+_OK = 200
+_UNAVAILABLE = 503
+_METRICS_TYPE = ('content-type', 'text/plain; version=0.0.4')
+
+
+async def send_alive(reply: Reply) -> None:
+    """Say that the process answers."""
+    await send_json(reply, _OK, {'alive': True})
+
+
+async def send_ready(reply: Reply, *, ready: bool) -> None:
+    """Say by the status whether the process takes new work."""
+    status = _OK if ready else _UNAVAILABLE
+    await send_json(reply, status, {'ready': ready})
+
+
+async def send_metrics(reply: Reply, metrics: Metrics) -> None:
+    """Send all metrics in Prometheus text format."""
+    await reply.whole(_OK, (_METRICS_TYPE,), metrics.text())
--- a/src/amaranthrail/entry/administration.py
+++ b/src/amaranthrail/entry/administration.py
@@ -12,6 +12,7 @@
 import trio
 
 from ..adapters.httpserver import HttpRequest, Reply
+from ..adapters.probes import send_alive, send_metrics, send_ready
 from ..adapters.problem import JSON_TYPE, send_json
 from ..configuration import Configuration
 from ..exceptions import ManifestError
@@ -36,7 +37,6 @@
 _UNAUTHORISED = 401
 _NOT_FOUND = 404
 _CONFLICT = 409
-_UNAVAILABLE = 503
 _LOST_PREFIX = '/v1/lost/'
 _RESOLVE_SUFFIX = '/resolve'
 
@@ -88,11 +88,9 @@
         """Answer one request; health and metrics need no token."""
         match request.path:
             case '/healthz':
-                await send_json(reply, _OK, {'alive': True})
+                await send_alive(reply)
             case '/readyz':
-                ready = self._core.ready
-                status = _OK if ready else _UNAVAILABLE
-                await send_json(reply, status, {'ready': ready})
+                await send_ready(reply, ready=self._core.ready)
             case '/metrics':
                 await self._metrics(reply)
             case _:
@@ -129,8 +127,7 @@
         }
         for name, reading in gauges.items():
             self._runtime.metrics.gauge(name, reading)
-        kind = ('content-type', 'text/plain; version=0.0.4')
-        await reply.whole(_OK, (kind,), self._runtime.metrics.text())
+        await send_metrics(reply, self._runtime.metrics)
 
     async def _status(self, _request: HttpRequest, reply: Reply) -> None:
         core = self._core
--- a/src/amaranthrail/entry/callers.py
+++ b/src/amaranthrail/entry/callers.py
@@ -6,7 +6,8 @@
 
 from ..adapters.httpclient import HttpAnswer
 from ..adapters.httpserver import HttpRequest, Reply
-from ..adapters.problem import send_json, send_refusal
+from ..adapters.probes import send_ready
+from ..adapters.problem import send_refusal
 from ..outcomes import Reason, Refusal, not_run
 from ..policy.sizes import (
     Size,
@@ -24,8 +25,6 @@
 _MAX_DEADLINE_MS = 3_600_000
 _MAX_KEY_LENGTH = 255
 _RETRY_MS = 1000
-_OK = 200
-_UNAVAILABLE = 503
 
 
 class Callers:
@@ -42,7 +41,8 @@
     async def handle(self, request: HttpRequest, reply: Reply) -> None:
         """Answer one request."""
         if request.path in {'/healthz', '/readyz'}:
-            await self._health(request, reply)
+            ready = request.path == '/healthz' or self._core.ready
+            await send_ready(reply, ready=ready)
             return
         began = self._clock.now()
         label = f'{self._core.runtime.incarnation}-r{next(self._labels)}'
@@ -84,11 +84,6 @@
         self._count(answer)
         await send_refusal(reply, answer, (('x-request-id', call.label),))
 
-    async def _health(self, request: HttpRequest, reply: Reply) -> None:
-        ready = request.path == '/healthz' or self._core.ready
-        status = _OK if ready else _UNAVAILABLE
-        await send_json(reply, status, {'ready': ready})
-
     def _identify(self, request: HttpRequest, label: str) -> Call | Refusal:
         routes = self._core.routes
         if routes is None:
--- a/src/amaranthrail/entry/peers.py
+++ b/src/amaranthrail/entry/peers.py
@@ -6,6 +6,7 @@
 import ssl
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 import trio
 
@@ -43,7 +44,7 @@
 from ..ports import HostRecord, HostState
 from ..runtime import Runtime
 from ..settings import EntrySettings
-from ..spread import beat, plain_heartbeat, take_shared
+from ..spread import exchange_frames, plain_heartbeat, take_shared
 from ..timeline import Event
 from ..types import Incarnation, RequestId
 from .exchange import Exchange
@@ -267,7 +268,12 @@
                 )
             established = self._accept(link, welcome)
             if established:
-                await self._exchange_frames(link)
+                await exchange_frames(
+                    link,
+                    self._runtime,
+                    self._access.settings,
+                    partial(self._take, link),
+                )
         except* (LinkClosedError, FrameError, trio.TooSlowError) as group:
             self._note_lost(group.exceptions[0])
         return established
@@ -300,15 +306,6 @@
             link.post(frame)
         return True
 
-    async def _exchange_frames(self, link: Link) -> None:
-        settings = self._access.settings
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(link.run_writer)
-            nursery.start_soon(link.watch_silence, settings.silence_ms)
-            nursery.start_soon(beat, link, self._runtime, settings.heartbeat_ms)
-            while True:
-                self._take(link, await link.receive())
-
     def _take(self, link: Link, frame: AnyFrame) -> None:
         if isinstance(frame, Heartbeat):
             self._load = frame
--- a/src/amaranthrail/sidecar/ranklink.py
+++ b/src/amaranthrail/sidecar/ranklink.py
@@ -5,6 +5,7 @@
 import itertools
 import ssl
 from dataclasses import dataclass
+from functools import partial
 
 import trio
 
@@ -17,7 +18,7 @@
 from ..orders import AnyOrder, AnyReply, decode_reply, encode_order
 from ..runtime import Runtime
 from ..settings import SidecarSettings
-from ..spread import beat, take_shared
+from ..spread import exchange_frames, take_shared
 
 ORDER_TIMEOUT_MS = 1500.0
 _RECONNECT_MS = 200.0
@@ -101,17 +102,12 @@
         with trio.fail_after(HANDSHAKE_TIMEOUT_S):
             await greet(link, self._settings.peer_key.encode(), hello)
         self._link = link
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(link.run_writer)
-            nursery.start_soon(link.watch_silence, self._settings.silence_ms)
-            nursery.start_soon(
-                beat,
-                link,
-                self._runtime,
-                self._settings.heartbeat_ms,
-            )
-            while True:
-                self._take(link, await link.receive())
+        await exchange_frames(
+            link,
+            self._runtime,
+            self._settings,
+            partial(self._take, link),
+        )
 
     def _take(self, link: Link, frame: AnyFrame) -> None:
         if take_shared(link, self._runtime, frame):
--- a/src/amaranthrail/sidecar/service.py
+++ b/src/amaranthrail/sidecar/service.py
@@ -16,6 +16,7 @@
 from ..adapters.link import Link
 from ..adapters.listen import open_listeners, secured
 from ..adapters.platform import HttpHostList
+from ..adapters.probes import send_alive, send_metrics, send_ready
 from ..adapters.problem import send_json
 from ..adapters.rankengine import HttpRankEngine, HttpWeightStore
 from ..clock import move_on_after, sleep
@@ -36,8 +37,6 @@
 _SWEEP_MS = 1000.0
 _CHECK_MS = 20.0
 _MAX_ADMIN_BODY = 1024
-_OK = 200
-_UNAVAILABLE = 503
 _NOT_FOUND = 404
 _log = part_logger('sidecar')
 
@@ -188,16 +187,12 @@
     async def _administer(self, request: HttpRequest, reply: Reply) -> None:
         match request.path:
             case '/healthz':
-                await send_json(reply, _OK, {'alive': True})
+                await send_alive(reply)
             case '/readyz':
-                ready = not self._gate.leaving
-                status = _OK if ready else _UNAVAILABLE
-                await send_json(reply, status, {'ready': ready})
+                await send_ready(reply, ready=not self._gate.leaving)
             case '/metrics':
                 self._gauge()
-                text = self._runtime.metrics.text()
-                kind = ('content-type', 'text/plain; version=0.0.4')
-                await reply.whole(_OK, (kind,), text)
+                await send_metrics(reply, self._runtime.metrics)
             case _:
                 await send_json(reply, _NOT_FOUND, {'title': 'not found'})
 
--- a/src/amaranthrail/spread.py
+++ b/src/amaranthrail/spread.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
+import trio
+
 from .adapters.link import Link
 from .clock import sleep
 from .configuration import Configuration
 from .exceptions import ManifestError
 from .frames import AnyFrame, Heartbeat, ManifestPull, ManifestPush
 from .runtime import Runtime
+from .settings import ProcessSettings
 
 
 def push_frame(configuration: Configuration) -> ManifestPush:
@@ -59,8 +64,22 @@
         )
 
 
-async def beat(link: Link, runtime: Runtime, interval_ms: float) -> None:
-    """Send heartbeats without load, for good."""
+async def exchange_frames(
+    link: Link,
+    runtime: Runtime,
+    settings: ProcessSettings,
+    take: Callable[[AnyFrame], None],
+) -> None:
+    """Beat without load, and hand on what arrives, until the link ends."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(link.run_writer)
+        nursery.start_soon(link.watch_silence, settings.silence_ms)
+        nursery.start_soon(_beat, link, runtime, settings.heartbeat_ms)
+        while True:
+            take(await link.receive())
+
+
+async def _beat(link: Link, runtime: Runtime, interval_ms: float) -> None:
     while True:
         link.post(plain_heartbeat(runtime))
         await sleep(interval_ms)
