--- a/bench/crest.py
+++ b/bench/crest.py
@@ -10,13 +10,13 @@
 from pathlib import Path
 from typing import Any
 
-from standins.calling import http_call
 from standins.deployments import (
     LARGE_ORGANISATIONS,
     LARGE_WEIGHT,
     organisation_names,
     token_of,
 )
+from standins.engine import BATCH_COST
 from standins.fleet import Fleet, running_fleet
 from standins.launch import FleetPlan
 
@@ -35,7 +35,7 @@
 HIGH = 3.0
 ORGANISATIONS = 10
 MAX_TRIES = 3
-_GROWTH = 1 + 0.02 * (SLOTS - 1)
+_GROWTH = 1 + BATCH_COST * (SLOTS - 1)
 
 BASELINE = {'pick': 'round_robin', 'queue': 'fifo', 'admission': 'accept_all'}
 CHOSEN: dict[str, Any] = {'pick': 'two_choices'}
@@ -129,10 +129,7 @@
             timer.start()
         hits = fire(fleet.entries, shots(fleet, seed), retrying(scene))
         timer.cancel()
-        runs = sum(
-            len(http_call(one.url, 'GET', '/control/runs').json())
-            for one in fleet.upstreams
-        )
+        runs = len(fleet.runs(fleet.deployment.model))
     return figures(hits, runs, scene)
 
 
--- a/bench/hol.py
+++ b/bench/hol.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Any
 
+from standins.engine import BATCH_COST
 from standins.fleet import Fleet, running_fleet
 from standins.launch import FleetPlan
 
@@ -20,7 +21,7 @@
 STEP_MS = 5.0
 SECONDS = 12.0
 LOADS = (0.7, 0.85)
-_BATCH_GROWTH = 1 + 0.02 * (SLOTS - 1)
+_BATCH_GROWTH = 1 + BATCH_COST * (SLOTS - 1)
 
 BASELINE = {'pick': 'round_robin', 'queue': 'fifo', 'admission': 'accept_all'}
 WAYS: dict[str, dict[str, Any]] = {
--- a/bench/load.py
+++ b/bench/load.py
@@ -38,7 +38,6 @@
 
     shot: Shot
     status: int = 0
-    outcome: str = 'nothing'
     first_s: float = 0
     total_s: float = 0
     whole: bool = False
@@ -143,7 +142,6 @@
         ) as exchange:
             hit.status = exchange.status
             fields = dict(exchange.headers)
-            hit.outcome = fields.get('x-outcome', '')
             hit.retry_after_s = float(fields.get('retry-after', 0))
             async with aclosing(exchange.parts()) as parts:
                 async for part in parts:
--- a/bench/report.py
+++ b/bench/report.py
@@ -5,8 +5,13 @@
 import json
 import os
 import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from matplotlib.axes import Axes
 
 _CLOCK_TICKS = os.sysconf('SC_CLK_TCK')
 _PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
@@ -46,26 +51,18 @@
     bars: dict[str, dict[str, float]],
 ) -> None:
     """Draw groups of bars: for each label a number a series."""
-    import matplotlib as mpl
-
-    mpl.use('Agg')
-    from matplotlib import pyplot as plt
-
-    figure, axes = plt.subplots(figsize=(9, 4.5))
     labels = list(bars)
     series = list(next(iter(bars.values())))
     width = 0.8 / len(series)
-    for index, name in enumerate(series):
-        places = [place + index * width for place in range(len(labels))]
-        heights = [bars[label][name] for label in labels]
-        axes.bar(places, heights, width, label=name)
-    axes.set_xticks([place + 0.4 - width / 2 for place in range(len(labels))])
-    axes.set_xticklabels(labels)
-    axes.set_ylabel(unit)
-    axes.set_title(title)
-    axes.legend()
-    figure.tight_layout()
-    figure.savefig(file, dpi=100)
+    with _plot(file, title) as axes:
+        for index, name in enumerate(series):
+            places = [place + index * width for place in range(len(labels))]
+            heights = [bars[label][name] for label in labels]
+            axes.bar(places, heights, width, label=name)
+        middles = [place + 0.4 - width / 2 for place in range(len(labels))]
+        axes.set_xticks(middles)
+        axes.set_xticklabels(labels)
+        axes.set_ylabel(unit)
 
 
 def plot_lines(
@@ -75,20 +72,27 @@
     lines: dict[str, list[tuple[float, float]]],
 ) -> None:
     """Draw one line a series."""
+    with _plot(file, title) as axes:
+        for name, points in lines.items():
+            axes.plot(
+                [point[0] for point in points],
+                [point[1] for point in points],
+                label=name,
+            )
+        axes.set_xlabel(units[0])
+        axes.set_ylabel(units[1])
+
+
+@contextmanager
+def _plot(file: Path, title: str) -> Iterator[Axes]:
+    """Give the axes of a plot that is written at the end."""
     import matplotlib as mpl
 
     mpl.use('Agg')
     from matplotlib import pyplot as plt
 
     figure, axes = plt.subplots(figsize=(9, 4.5))
-    for name, points in lines.items():
-        axes.plot(
-            [point[0] for point in points],
-            [point[1] for point in points],
-            label=name,
-        )
-    axes.set_xlabel(units[0])
-    axes.set_ylabel(units[1])
+    yield axes
     axes.set_title(title)
     axes.legend()
     figure.tight_layout()
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -24,7 +24,8 @@
 _CHARS_PER_TOKEN = 4
 _PREFIX_CHARS = 256
 _PREFIX_ENTRIES = 32
-_BATCH_COST = 0.02
+#: Each further sequence of a batch lengthens its step by this share.
+BATCH_COST = 0.02
 _PREFILL_STEP_TOKENS = 256
 _LOAD_LAG_S = 0.5
 _BAD_REQUEST = 400
@@ -94,7 +95,7 @@
                 await self._arrived.wait()
             await self._faults.wait_unstalled()
             self._fill_batch()
-            growth = 1 + _BATCH_COST * (len(self._batch) - 1)
+            growth = 1 + BATCH_COST * (len(self._batch) - 1)
             await trio.sleep(self._step_ms * growth / 1000)
             for sequence in tuple(self._batch):
                 sequence.advance()
--- a/standins/group.py
+++ b/standins/group.py
@@ -118,7 +118,6 @@
         self._ranks = [
             RankEngine(number, start, fencing) for number in range(size)
         ]
-        self._experts = experts
         self._step = 0
         self._held_s = 0.0
         self._step_ms = 2.0
--- a/standins/launch.py
+++ b/standins/launch.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import Any
 
-from .calling import LOOPBACK, free_ports
+from .calling import LOOPBACK, free_ports, http_call
 from .child import Child
 from .deployments import DEPLOYMENTS
 from .relay import Relay
@@ -45,6 +45,10 @@
     group: str = ''
     rank: int = -1
 
+    def set_faults(self, **faults: object) -> None:
+        """Set faults of the upstream."""
+        http_call(self.url, 'POST', '/control/faults', faults)
+
     @property
     def listed_address(self) -> str:
         """Return where entries are told to find the sidecar."""
--- a/standins/tour.py
+++ b/standins/tour.py
@@ -128,8 +128,7 @@
 def _lose_a_sidecar(fleet: Fleet) -> bool:
     key = 'tour-lost'
     for one in fleet.of_service('sportello'):
-        delay = {'delay_ms': _DELAY_MS}
-        http_call(one.url, 'POST', '/control/faults', delay)
+        one.set_faults(delay_ms=_DELAY_MS)
     with ThreadPoolExecutor(1) as pool:
         filing = pool.submit(_file, fleet, key)
         wait_until(lambda: _count_runs(fleet, key))
@@ -138,7 +137,7 @@
         answer = _outcome(filing)
     victim.sidecar.restart()
     for one in fleet.of_service('sportello'):
-        http_call(one.url, 'POST', '/control/faults', {'delay_ms': 0})
+        one.set_faults(delay_ms=0)
     listed = fleet.command('lost', 'list').stdout.decode()
     _say(
         f'The sidecar of {victim.name} was killed during a filing: the caller '
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from standins.calling import http_call
 from standins.fleet import Fleet
 from standins.launch import UpstreamProcess
 
@@ -74,10 +73,7 @@
 
 
 def _upstream(**faults: object) -> Act:
-    def act(fleet: Fleet) -> None:
-        http_call(_victim(fleet).url, 'POST', '/control/faults', faults)
-
-    return act
+    return lambda fleet: _victim(fleet).set_faults(**faults)
 
 
 def _relays(act: str, *arguments: object) -> Act:
--- a/tests/filing.py
+++ b/tests/filing.py
@@ -124,6 +124,20 @@
     assert not twice, f'ran twice: {twice}'
 
 
+def lose(fleet: Fleet, key: str) -> Answer:
+    """File with the answers cut, so that the key is lost."""
+    upstreams = fleet.of_service(fleet.deployment.plain)
+    for one in upstreams:
+        one.set_faults(cut_after_bytes=5)
+    try:
+        answer = file_order(fleet, fleet.entries[0], key)
+    finally:
+        for one in upstreams:
+            one.set_faults(cut_after_bytes=None)
+    wait_until(lambda: key in lost_keys(fleet))
+    return answer
+
+
 def lost_keys(fleet: Fleet) -> set[str]:
     """Return the callers' keys on the lost list."""
     answer = fleet.admin_call('GET', '/v1/lost')
--- a/tests/rankbench.py
+++ b/tests/rankbench.py
@@ -29,6 +29,8 @@
 #: An order to an engine takes effect at most this late; see rank.QUIET_MS.
 MAX_EFFECT_S = 1.0
 _LATE_S = 8.0
+#: From which step on a rank used which version.
+Used = list[tuple[int, int]]
 
 
 @dataclass
@@ -152,15 +154,20 @@
 
     def mixed_steps(self) -> list[int]:
         """Return the steps at which ranks used different maps."""
-        changes = sorted({step for one in self.engines for step, _ in one.used})
-        return [
-            step
-            for step in changes
-            if len({version_at(one.used, step) for one in self.engines}) > 1
-        ]
+        return mixed_steps([one.used for one in self.engines])
+
+
+def mixed_steps(used: list[Used]) -> list[int]:
+    """Return the steps with two maps, from since when each rank used which."""
+    changes = sorted({step for one in used for step, _ in one})
+    return [
+        step
+        for step in changes
+        if len({_version_at(one, step) for one in used}) > 1
+    ]
 
 
-def version_at(used: list[tuple[int, int]], step: int) -> int:
+def _version_at(used: Used, step: int) -> int:
     return next(version for since, version in reversed(used) if since <= step)
 
 
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -100,15 +100,13 @@
 
 def test_answer_of_a_cut_upstream_is_visibly_cut(streaming: Fleet) -> None:
     for one in streaming.of_service('redattore'):
-        fault = {'cut_after_bytes': 200}
-        http_call(one.url, 'POST', '/control/faults', fault)
+        one.set_faults(cut_after_bytes=200)
     try:
         with pytest.raises(client.IncompleteRead):
             draft(streaming, streaming.entries[0], 'cut', TOKENS)
     finally:
         for one in streaming.of_service('redattore'):
-            healed: dict[str, object] = {'cut_after_bytes': None}
-            http_call(one.url, 'POST', '/control/faults', healed)
+            one.set_faults(cut_after_bytes=None)
 
 
 def test_plain_answer_survives_a_lost_sidecar(streaming: Fleet) -> None:
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -17,7 +17,7 @@
 from .client import file_order
 from .evidence import Seen, appends_unanswered, latest_stamp, peers_lost
 from .faults import FAULTS, Fault
-from .filing import Workload, check_promises, lost_keys, settled
+from .filing import Workload, check_promises, lose, lost_keys, settled
 
 #: Longer than every lease and staleness bound of the design (3 s).
 HOLD_S = 3.6
@@ -125,15 +125,7 @@
 
 def test_lost_list_outlives_the_log_retention(faulty: Fleet) -> None:
     key = 'lost-for-long'
-    upstreams = faulty.of_service('sportello')
-    for one in upstreams:
-        _set_fault(one, cut_after_bytes=5)
-    try:
-        file_order(faulty, faulty.entries[0], key)
-    finally:
-        for one in upstreams:
-            _set_fault(one, cut_after_bytes=None)
-    wait_until(lambda: key in lost_keys(faulty))
+    lose(faulty, key)
     faulty.fault_platform(retention_ms=RETENTION_MS)
     try:
         wait_until(lambda: _only_lost_are_known(faulty))
@@ -145,10 +137,6 @@
     assert (again.status, again.json()['reason']) == (409, 'key-lost')
 
 
-def _set_fault(upstream: UpstreamProcess, **faults: object) -> None:
-    http_call(upstream.url, 'POST', '/control/faults', faults)
-
-
 def _only_lost_are_known(fleet: Fleet) -> bool:
     """Tell whether all keys that ran have been dropped with the log."""
     found = [_status(fleet, entry)['filings'] for entry in fleet.entries]
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -14,7 +14,6 @@
 from .raw import exchange, exchange_at
 
 CHAT = '/v1/chat/completions'
-MODEL = 'redattore'
 
 BAD_REQUESTS = [
     # method, path, body, status, reason
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -11,7 +11,7 @@
 from standins.fleet import Fleet, running_fleet
 from standins.launch import FleetPlan
 
-from .rankbench import version_at
+from .rankbench import mixed_steps
 
 RANKS = 4
 
@@ -38,19 +38,14 @@
 
 
 def _mixed(fleet: Fleet) -> list[int]:
-    used = _steps(fleet)['used']
-    at = sorted({step for one in used for step, _ in one})
-    return [
-        step for step in at if len({version_at(one, step) for one in used}) > 1
-    ]
+    return mixed_steps(_steps(fleet)['used'])
 
 
 def _wait_change(fleet: Fleet, slow: int) -> None:
     """Slow down one rank and wait until the map has changed for it."""
     target = _changes(fleet) + 1
     for one in fleet.ranks:
-        speed = {'speed': 0.4 if one.rank == slow else 1.0}
-        http_call(one.url, 'POST', '/control/faults', speed)
+        one.set_faults(speed=0.4 if one.rank == slow else 1.0)
     wait_until(lambda: _changes(fleet) >= target, 30)
 
 
@@ -68,7 +63,7 @@
     follower.sidecar.kill()
     follower.sidecar.restart()
     _wait_change(grouped, slow=1)
-    http_call(follower.url, 'POST', '/control/faults', {'restart': True})
+    follower.set_faults(restart=True)
     _wait_change(grouped, slow=3)
     assert not _mixed(grouped)
 
--- a/tests/test_same_key.py
+++ b/tests/test_same_key.py
@@ -5,11 +5,11 @@
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
 
-from standins.calling import http_call, wait_until
+from standins.calling import wait_until
 from standins.fleet import Fleet
 
 from .client import file_order
-from .filing import lost_keys, resolve
+from .filing import lose, lost_keys, resolve
 
 KEYS = 12
 ASKERS = 4
@@ -81,17 +81,8 @@
 
 def test_lost_key_runs_again_only_by_an_operator(fleet: Fleet) -> None:
     key = 'cut-off'
-    for one in fleet.of_service('sportello'):
-        cut: dict[str, object] = {'cut_after_bytes': 5}
-        http_call(one.url, 'POST', '/control/faults', cut)
-    try:
-        first = file_order(fleet, fleet.entries[0], key)
-    finally:
-        for one in fleet.of_service('sportello'):
-            healed: dict[str, object] = {'cut_after_bytes': None}
-            http_call(one.url, 'POST', '/control/faults', healed)
+    first = lose(fleet, key)
     assert (first.status, first.headers['x-outcome']) == (504, 'unknown')
-    wait_until(lambda: key in lost_keys(fleet))
     again = file_order(fleet, fleet.entries[1], key)
     assert (again.status, again.json()['reason']) == (409, 'key-lost')
     assert resolve(fleet, key, 'not-run') == 200
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -14,6 +14,7 @@
 from trio import run
 
 from amaranthrail.adapters.httpclient import HttpClient, parse_address
+from amaranthrail.types import HeaderList
 from standins.calling import http_call
 from standins.fleet import Fleet, running_fleet
 from standins.launch import FleetPlan
@@ -67,17 +68,22 @@
     return paths
 
 
+def _client(fleet: Fleet, authority: trustme.CA) -> HttpClient:
+    context = ssl.create_default_context()
+    authority.configure_trust(context)
+    return HttpClient(parse_address(fleet.entries[0].url), context)
+
+
+def _headers(fleet: Fleet) -> HeaderList:
+    return tuple((name.lower(), text) for name, text in auth(fleet).items())
+
+
 def test_caller_is_served_over_tls(
     secured: Fleet,
     authority: trustme.CA,
 ) -> None:
-    context = ssl.create_default_context()
-    authority.configure_trust(context)
-    address = parse_address(secured.entries[0].url)
-    client = HttpClient(address, context)
-    headers = tuple(
-        (name.lower(), text) for name, text in auth(secured).items()
-    )
+    client = _client(secured, authority)
+    headers = _headers(secured)
 
     async def ask() -> int:
         target = '/sportello/orders/1'
@@ -100,13 +106,9 @@
     secured: Fleet,
     authority: trustme.CA,
 ) -> None:
-    context = ssl.create_default_context()
-    authority.configure_trust(context)
     leaving = secured.entries[0]
-    client = HttpClient(parse_address(leaving.url), context)
-    headers = tuple(
-        (name.lower(), text) for name, text in auth(secured).items()
-    )
+    client = _client(secured, authority)
+    headers = _headers(secured)
     order = {
         'model': secured.deployment.model,
         'prompt': 'whole',
