Import what writes metrics with the first scrape

Counts are now plain numbers; the library writes them. python3 runs with -S: all that is imported is in target/deps.

--- a/src/amaranthrail/adapters/probes.py
+++ b/src/amaranthrail/adapters/probes.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from importlib import import_module
+
+import trio
+
 from ..metrics import Metrics
 from .httpserver import Reply
 from .problem import send_json
@@ -23,5 +27,14 @@
 
 
 async def send_metrics(reply: Reply, metrics: Metrics) -> None:
-    """Send all metrics in Prometheus text format."""
-    await reply.whole(_OK, (_METRICS_TYPE,), metrics.text())
+    """Send all metrics in Prometheus text format.
+
+    The module that writes them is imported in a thread: it takes longer than
+    streams may pause.
+    """
+    exposition = await trio.to_thread.run_sync(
+        import_module,
+        '..exposition',
+        __package__,
+    )
+    await reply.whole(_OK, (_METRICS_TYPE,), exposition.metrics_text(metrics))
--- a/src/amaranthrail/metrics.py
+++ b/src/amaranthrail/metrics.py
@@ -1,21 +1,23 @@
-"""Count, gauge and time; written as Prometheus text."""
+"""Count, gauge and time; ``exposition`` writes what was collected."""
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections import defaultdict
+from collections.abc import Iterator, Mapping
 
 from hdrh.histogram import HdrHistogram
-from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
-from prometheus_client.core import Metric
-from prometheus_client.registry import Collector
 
 _MAX_US = 3_600_000_000
 _SIGNIFICANT_DIGITS = 2
 _US_PER_MS = 1000
 _US_PER_SECOND = 1_000_000
-_Sample = tuple[str, dict[str, str], float]
 _QUANTILES = (50.0, 95.0, 99.0)
 
+#: The names and texts of a counter's labels, in the order in which they were
+#: given.
+Labels = tuple[tuple[str, str], ...]
+Sample = tuple[str, dict[str, str], float]
+
 
 class Latency:
     """Collect durations of one kind in an HDR histogram."""
@@ -36,7 +38,7 @@
         found: int = self._histogram.get_value_at_percentile(percent)
         return found / _US_PER_MS
 
-    def samples(self, name: str) -> Iterator[_Sample]:
+    def samples(self, name: str) -> Iterator[Sample]:
         """Yield Prometheus summary samples, in seconds."""
         for percent in _QUANTILES:
             labels = {'quantile': str(percent / 100)}
@@ -45,62 +47,44 @@
         yield f'{name}_sum', {}, self._total_us / _US_PER_SECOND
 
 
-class _LatencyCollector(Collector):
-    def __init__(self, latencies: dict[str, Latency]) -> None:
-        self._latencies = latencies
-
-    def collect(self) -> Iterator[Metric]:
-        for name, latency in self._latencies.items():
-            metric = Metric(name, f'Durations of {name}.', 'summary')
-            for sample in latency.samples(name):
-                metric.add_sample(*sample)
-            yield metric
-
-
 class Metrics:
     """Own all metrics of one process."""
 
     def __init__(self) -> None:
-        """Start with an empty registry."""
-        self._registry = CollectorRegistry()
+        """Start without any."""
         self._latencies: dict[str, Latency] = {}
-        self._counters: dict[str, Counter] = {}
-        self._gauges: dict[str, Gauge] = {}
-        self._registry.register(_LatencyCollector(self._latencies))
+        self._counters: dict[str, dict[Labels, float]] = {}
+        self._gauges: dict[str, float] = {}
+
+    @property
+    def latencies(self) -> Mapping[str, Latency]:
+        """Return the latencies by name."""
+        return self._latencies
+
+    @property
+    def counters(self) -> Mapping[str, Mapping[Labels, float]]:
+        """Return the counts by name and labels."""
+        return self._counters
+
+    @property
+    def gauges(self) -> Mapping[str, float]:
+        """Return the gauges by name."""
+        return self._gauges
 
     def latency(self, name: str) -> Latency:
         """Return the latency of a name, made at first use."""
-        full_name = f'amaranthrail_{name}_seconds'
-        latency = self._latencies.get(full_name)
+        latency = self._latencies.get(name)
         if latency is None:
             # Making a histogram takes 0.1 ms, so none is made in vain.
             latency = Latency()
-            self._latencies[full_name] = latency
+            self._latencies[name] = latency
         return latency
 
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
         """Add to a counter; a name always goes with the same labels."""
-        counter = self._counters.get(name)
-        if counter is None:
-            counter = Counter(
-                f'amaranthrail_{name}',
-                name.replace('_', ' '),
-                tuple(labels),
-                registry=self._registry,
-            )
-            self._counters[name] = counter
-        (counter.labels(**labels) if labels else counter).inc(amount)
+        counts = self._counters.setdefault(name, defaultdict(float))
+        counts[tuple(labels.items())] += amount
 
     def gauge(self, name: str, reading: float) -> None:
         """Set a gauge."""
-        if name not in self._gauges:
-            self._gauges[name] = Gauge(
-                f'amaranthrail_{name}',
-                name.replace('_', ' '),
-                registry=self._registry,
-            )
-        self._gauges[name].set(reading)
-
-    def text(self) -> bytes:
-        """Return all metrics in Prometheus text format."""
-        return generate_latest(self._registry)
+        self._gauges[name] = reading
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -8,6 +8,7 @@
 
 from amaranthrail.entry.exchange import Exchange
 from amaranthrail.entry.inflight import InFlight
+from amaranthrail.exposition import metrics_text
 from amaranthrail.frames import Broken, End, Head, Part, Refused
 from amaranthrail.metrics import Metrics
 from amaranthrail.outcomes import Outcome, Refusal
@@ -76,4 +77,4 @@
     in_flight.take(Part('other', 0, b'not mine'))
     in_flight.take(Part('earlier', 0, b'nobody'))
     assert (mine.received, other.received) == (0, len(b'not mine'))
-    assert b'amaranthrail_frames_unknown_total 1.0' in metrics.text()
+    assert b'amaranthrail_frames_unknown_total 1.0' in metrics_text(metrics)
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -126,3 +126,26 @@
         check=False,
     )
     assert found.returncode == 0
+
+
+_IMPORTED = """
+import sys
+import amaranthrail.platform.program
+print(' '.join(sys.modules))
+"""
+
+
+@pytest.mark.parametrize(
+    'library',
+    ['prometheus_client', 'http.server', 'pydantic', 'typer'],
+)
+def test_a_start_imports_no_library_that_only_others_need(library: str) -> None:
+    """Replays the loss of all entries: callers meet nobody until one starts."""
+    found = subprocess.run(
+        [sys.executable, '-S', '-c', _IMPORTED],
+        env={**os.environ, 'PYTHONPATH': os.pathsep.join(sys.path)},
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert library not in found.stdout.split()
