Find the leader among the entries; answer callers that come to a leaving entry

Two faults, in one commit because both change what starts and stops an entry.

Cause: the store deals its partitions anew with each entry that comes or goes, and the lead with them. Entries now tell each other since when they run, and the one alive that has run longest leads, without the store. Entries that are cut off from each other may all lead; a leader that sees another's change makes none for 3 s (replayed in test_leader). An entry once counted for good, so the repeat budget's share shrank with each replaced host: silent ones are forgotten after 2 h, and their records dropped. Claims, their port and their stand-in are gone; tests of the lead now go over loopback, with the store down. An entry now waits 0.4 s. Also: no reports of ranks are asked where maps cannot be changed.

Now only kept connections close then; a new one is answered, served where that ends before the kill, else refused at once. The test got a reset before (run with new connections taken as kept).

--- a/src/amaranthrail/adapters/httpserver.py
+++ b/src/amaranthrail/adapters/httpserver.py
@@ -174,20 +174,25 @@
         self._announced = True
 
     def close(self) -> None:
-        """Let every connection end after its answer in progress."""
+        """Let every connection end after its next answer, kept ones now."""
         self._closing.set()
         for scope in self._idle:
             scope.cancel()
 
     @contextmanager
-    def idle(self) -> Iterator[trio.CancelScope]:
-        """Give a scope that ends when the server closes, or in time."""
+    def idle(self, *, kept: bool) -> Iterator[None]:
+        """Give a scope that ends in time.
+
+        That of a kept connection also ends when the server closes; on a new
+        one a request may be on its way.
+        """
         with move_on_after(self.limits.idle_timeout_ms) as scope:
-            self._idle.add(scope)
-            if self._closing.is_set():
+            if kept:
+                self._idle.add(scope)
+            if kept and self._closing.is_set():
                 scope.cancel()
             try:
-                yield scope
+                yield
             finally:
                 self._idle.discard(scope)
 
@@ -205,6 +210,7 @@
             max_incomplete_event_size=state.limits.max_header_bytes,
         )
         self._pipelined = 0
+        self._kept = False
 
     @property
     def closing(self) -> bool:
@@ -255,13 +261,14 @@
             return False
         self._parser.start_next_cycle()
         self._pipelined = 0
+        self._kept = True
         return True
 
     async def _read_head(self) -> h11.Request | int | None:
         """Return a head, the status that refuses it, or None at the end."""
         event: _ParserEvent | None = None
         timeout_ms = self._state.limits.header_timeout_ms
-        with self._state.idle():
+        with self._state.idle(kept=self._kept):
             if timeout_ms is None:
                 event = await self.next_event()
             else:
--- a/src/amaranthrail/direct/callers.py
+++ b/src/amaranthrail/direct/callers.py
@@ -11,6 +11,7 @@
 from ..policy.returns import return_after
 from ..types import Millis, OrganisationName, ServiceName
 from .call import Call
+from .departure import Departure
 from .deployment import Deployment, Organisation, Route
 from .forward import Forwarder
 from .journal import Journal
@@ -30,9 +31,11 @@
         dialect: Dialect,
         forwarder: Forwarder,
         journal: Journal,
+        departure: Departure,
     ) -> None:
         """Take the parts that a request meets."""
         self._world = world
+        self._departure = departure
         self._dialect = dialect
         self._forwarder = forwarder
         self._journal = journal
@@ -76,7 +79,11 @@
         organisation = _organisation(deployment, route, facts.credential)
         if isinstance(organisation, Refusal):
             return organisation
-        return self._call(deployment, request, facts, route, organisation)
+        call = self._call(deployment, request, facts, route, organisation)
+        if not self._departure.takes(call):
+            # Other entries take it at once.
+            return not_run(Reason.DRAINING, 'this entry leaves', 0)
+        return call
 
     def _call(
         self,
--- a/src/amaranthrail/direct/loads.py
+++ b/src/amaranthrail/direct/loads.py
@@ -3,40 +3,29 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Collection
 from dataclasses import dataclass
-from typing import Protocol
 
 import msgspec
 import trio
 
 from ..clock import Clock, sleep
 from ..logs import part_logger
+from .members import MAX_RECEIVERS, Members
 from .news import Loads, decode_loads, encode_message
 from .settings import DirectSettings
 from .upstreams import Directory
 
 #: Time between two reports to other entries, in ms: a tenth of a short stream.
 REPORT_INTERVAL_MS = 100.0
+#: The same for an entry without calls, in ms: a fifth of the time after which
+#: it would count as gone.
+IDLE_INTERVAL_MS = 300.0
 #: Age from which a report counts no more, in ms; single datagrams get lost.
 REPORT_LIFE_MS = 450.0
-#: Entries that get one report; more take turns.
-MAX_RECEIVERS = 24
 _MAX_DATAGRAM_BYTES = 65_536
 _log = part_logger('loads')
 
 
-class PeerHosts(Protocol):
-    """Know the hosts of the other entries."""
-
-    @property
-    def hosts(self) -> frozenset[str]:
-        """Return the hosts that may run another entry."""
-
-    def note_hosts(self, hosts: Collection[str]) -> None:
-        """Take hosts that run an entry."""
-
-
 @dataclass(frozen=True, slots=True)
 class _Heard:
     heard_at: float
@@ -74,13 +63,13 @@
         settings: DirectSettings,
         directory: Directory,
         shared: SharedLoads,
-        peers: PeerHosts,
+        members: Members,
     ) -> None:
         """Take what is told, where it goes, and who the others are."""
         self._address = (settings.host, settings.peer_port)
         self._directory = directory
         self._shared = shared
-        self._peers = peers
+        self._members = members
         self._random = random.Random()
 
     async def run(self) -> None:
@@ -94,17 +83,22 @@
     async def _send(self, socket: trio.socket.SocketType) -> None:
         had_calls = False
         while True:
-            await sleep(REPORT_INTERVAL_MS)
             calls = self._directory.calls_in_flight()
-            # An entry without calls says so once and is silent then.
-            if not calls and not had_calls:
-                continue
-            had_calls = bool(calls)
-            hosts = sorted(self._peers.hosts)
-            payload = encode_message(Loads(calls, hosts[:MAX_RECEIVERS]))
-            count = min(MAX_RECEIVERS, len(hosts))
-            for host in self._random.sample(hosts, count):
+            payload = encode_message(self._report(calls))
+            for host in self._sample(sorted(self._members.hosts)):
                 await self._send_one(socket, payload, host)
+            busy = bool(calls) or had_calls
+            had_calls = bool(calls)
+            await sleep(REPORT_INTERVAL_MS if busy else IDLE_INTERVAL_MS)
+
+    def _report(self, calls: dict[str, int]) -> Loads:
+        own = self._members.own
+        alive = self._sample(self._members.alive)
+        return Loads(calls, alive, own.started_at, own.leaving)
+
+    def _sample(self, hosts: list[str]) -> list[str]:
+        """Return as many hosts as one report goes to or names."""
+        return self._random.sample(hosts, min(MAX_RECEIVERS, len(hosts)))
 
     async def _send_one(
         self,
@@ -132,4 +126,9 @@
                 _log.warning('report not understood', cause=str(error))
                 continue
             self._shared.take(sender[0], report.calls)
-            self._peers.note_hosts({sender[0], *report.hosts})
+            self._members.note_heard(
+                sender[0],
+                report.started_at,
+                leaving=report.leaving,
+            )
+            self._members.note_named(report.hosts)
--- a/src/amaranthrail/direct/news.py
+++ b/src/amaranthrail/direct/news.py
@@ -32,21 +32,25 @@
     """Hold what the asked entry knows and the asker does not.
 
     ``configuration`` is empty where the asker's is as new; ``upstreams`` maps
-    names to the records as the store had them; ``leading`` says that the asked
-    entry leads the expert maps.
+    names to the records as the store had them.
     """
 
     configuration: bytes
     upstreams: dict[str, bytes]
     gone: list[Gone]
-    leading: bool = False
 
 
 class Loads(msgspec.Struct, array_like=True, frozen=True):
-    """Tell an entry's calls in flight by upstream, and entries it knows."""
+    """Tell an entry's calls in flight by upstream, and about entries.
+
+    ``hosts`` are some of those that it has heard lately, ``started_at`` is the
+    wall time of its own start in ms.
+    """
 
     calls: dict[str, int]
     hosts: list[str]
+    started_at: int
+    leaving: bool = False
 
 
 _ask_decoder = msgspec.msgpack.Decoder(Ask)
--- a/src/amaranthrail/direct/peers.py
+++ b/src/amaranthrail/direct/peers.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Collection
 from dataclasses import dataclass
-from typing import Protocol
 
 import msgspec
 import trio
@@ -18,6 +16,7 @@
 from ..clock import move_on_after, sleep
 from ..logs import part_logger
 from .deployment import UpstreamRecord
+from .members import Members
 from .news import (
     Ask,
     Gone,
@@ -48,24 +47,13 @@
 _log = part_logger('peers')
 
 
-class LeadPort(Protocol):
-    """Be the claim of an entry to lead."""
-
-    @property
-    def held(self) -> bool:
-        """Tell whether this entry leads."""
-
-    def give_way(self, other: str) -> None:
-        """Stop leading, since another entry does."""
-
-
 @dataclass(frozen=True, slots=True)
 class PeerTies:
     """Hold what tells how this entry stands to store and other entries."""
 
     store: StorePort
     contact: StoreContact
-    lead: LeadPort
+    members: Members
 
 
 class Peers:
@@ -81,29 +69,13 @@
         self._settings = settings
         self._store = ties.store
         self._contact = ties.contact
-        self._lead = ties.lead
+        self._members = ties.members
         self._world = world
-        self._hosts = frozenset(settings.seeds) - {settings.host}
         self._random = random.Random()
 
-    @property
-    def count(self) -> int:
-        """Return how many entries there may be, this one included."""
-        return len(self._hosts) + 1
-
-    @property
-    def hosts(self) -> frozenset[str]:
-        """Return the hosts that may run another entry."""
-        return self._hosts
-
-    def note_hosts(self, hosts: Collection[str]) -> None:
-        """Take hosts that run an entry."""
-        self._hosts |= frozenset(hosts) - {self._settings.host}
-
     def take_settings(self, settings: DirectSettings) -> None:
-        """Take changed settings; entries once known stay known."""
+        """Take changed settings."""
         self._settings = settings
-        self.note_hosts(settings.seeds)
 
     async def run(self) -> None:
         """Keep the list of entries and ask them when need be, for good."""
@@ -133,19 +105,33 @@
 
     async def _follow_list(self) -> None:
         while True:
-            await sleep(LIST_INTERVAL_MS * self._random.uniform(0.1, 1))
             listed = await self._store.newest(Topic.ENTRIES)
             if isinstance(listed, Snapshot):
-                self.note_hosts({record.key for record in listed.records})
+                self._members.take_listed(
+                    record.key for record in listed.records
+                )
+                await self._strike_lost()
+            await sleep(LIST_INTERVAL_MS * self._random.uniform(0.5, 1))
+
+    async def _strike_lost(self) -> None:
+        """Drop the records of hosts that have long been silent.
+
+        Where one of them can be reached again, it is heard without a record.
+        """
+        if not self._members.leading:
+            return
+        for host in self._members.long_lost:
+            await self._store.write(Topic.ENTRIES, host, b'')
+            _log.info('record of a lost entry dropped', peer=host)
 
     async def _ask_on(self) -> None:
         while True:
             await sleep(ASK_INTERVAL_MS)
             lacking = not self._world.complete
             silent = self._contact.silent_ms > SILENCE_MS
-            if self._hosts and (self._contact.lost or lacking or silent):
-                host = self._random.choice(sorted(self._hosts))
-                await self._ask(host)
+            hosts = sorted(self._members.hosts)
+            if hosts and (self._contact.lost or lacking or silent):
+                await self._ask(self._random.choice(hosts))
 
     async def _ask(self, host: str) -> None:
         cause = 'no answer in time'
@@ -199,13 +185,9 @@
                 for name, age_key in self._world.directory.gone()
                 if name in ask.upstreams
             ],
-            # Without the store, a claim may have lapsed unnoticed.
-            leading=self._lead.held and not self._contact.lost,
         )
 
     def _take(self, news: News, host: str) -> None:
-        if news.leading and self._contact.lost:
-            self._lead.give_way(host)
         if news.configuration:
             self._world.take_deployment(news.configuration, host)
         for name, payload in news.upstreams.items():
--- a/src/amaranthrail/direct/ports.py
+++ b/src/amaranthrail/direct/ports.py
@@ -74,17 +74,10 @@
         key: str,
         payload: bytes,
     ) -> StoreFailure | None:
-        """Append a record; a failure leaves open whether it was."""
+        """Append a record; a failure leaves open whether it was.
 
-    async def claim_lead(
-        self,
-        member: str,
-        ttl_ms: int,
-    ) -> bool | StoreFailure:
-        """Tell whether a member leads; it does not once it stops asking."""
-
-    async def release_lead(self, member: str) -> StoreFailure | None:
-        """Let another member lead at once."""
+        An empty payload drops the key.
+        """
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/amaranthrail/direct/service.py
+++ b/src/amaranthrail/direct/service.py
@@ -20,13 +20,16 @@
 from ..clock import Clock, move_on_after, sleep
 from ..logs import part_logger
 from ..metrics import Metrics
-from ..ranks.keeper import Lead, MakeRank, MapKeeper
+from ..policy.leaving import FINISH_SHARE
+from ..ranks.keeper import MakeRank, MapKeeper
 from .attempt import Attempts
 from .callers import Callers
+from .departure import Departure
 from .deployment import CallerLimits
 from .forward import Forwarder, ForwarderSettings
 from .journal import Journal
 from .loads import LoadExchange, SharedLoads
+from .members import Members
 from .peers import Peers, PeerTies
 from .ports import Dialect, StorePort, Topic
 from .repeats import Repeats
@@ -42,8 +45,6 @@
 #: Time from the signal to stop until idle connections close, in ms: the
 #: balancer sends new ones until it has missed two probes, a second apart.
 LINGER_MS = 2500.0
-#: Part of the time until the kill that calls in progress may take.
-FINISH_SHARE = 0.94
 _CHECK_MS = 20.0
 _PROBE_BODY_BYTES = 1024
 _log = part_logger('entry')
@@ -66,10 +67,11 @@
         self._metrics = Metrics()
         self._world = World(self._clock, dialect)
         self._contact = StoreContact(self._clock)
-        self._lead = Lead(store, settings.name)
+        self._members = Members(settings.host, self._clock)
+        self._members.take_seeds(settings.seeds)
         self._peers = Peers(
             settings,
-            PeerTies(store, self._contact, self._lead),
+            PeerTies(store, self._contact, self._members),
             self._world,
         )
         self._configuration = TopicFollower(
@@ -85,17 +87,23 @@
         self._repeats = Repeats(
             settings.repeats,
             self._clock,
-            lambda: self._peers.count,
+            lambda: self._members.count,
         )
         self._loads = SharedLoads(self._clock)
         self._exchange = LoadExchange(
             settings,
             self._world.directory,
             self._loads,
-            self._peers,
+            self._members,
+        )
+        self._maps = MapKeeper(
+            self._world,
+            lambda: self._members.leading,
+            make_rank,
+            self._clock,
         )
-        self._maps = MapKeeper(self._world, self._lead, make_rank, self._clock)
         self._state = ServerState(self._limits)
+        self._departure = Departure(self._clock, settings.shutdown_ms)
         self._stopping = trio.Event()
 
     @property
@@ -111,7 +119,7 @@
     @property
     def leading(self) -> bool:
         """Tell whether this entry leads the expert maps."""
-        return self._lead.held
+        return self._members.leading
 
     @property
     def ready(self) -> bool:
@@ -127,6 +135,7 @@
         if settings == self._settings:
             return
         self._settings = settings
+        self._members.take_seeds(settings.seeds)
         self._peers.take_settings(settings)
         self._repeats.take_bounds(settings.repeats)
         _log.info('settings reloaded', entry=settings.name)
@@ -145,7 +154,6 @@
                 self._upstreams.run,
                 self._peers.run,
                 self._exchange.run,
-                self._lead.run,
                 self._maps.run,
                 partial(trio.serve_listeners, self._peers.serve, peers),
                 partial(self._serve_inside, probes, self._answer_probe),
@@ -182,7 +190,13 @@
                 self._dialect.refusal_headers,
             ),
         )
-        callers = Callers(self._world, self._dialect, forwarder, journal)
+        callers = Callers(
+            self._world,
+            self._dialect,
+            forwarder,
+            journal,
+            self._departure,
+        )
         await trio.serve_listeners(
             partial(
                 serve_connection,
@@ -226,8 +240,9 @@
     async def _leave(self) -> None:
         _log.info('leaving', active=self._state.active)
         began = self._clock.now()
+        self._departure.begin()
         self._state.announce_close()
-        await self._lead.resign()
+        self._members.leave()
         await sleep(began + LINGER_MS - self._clock.now())
         self._state.close()
         last = began + FINISH_SHARE * self._settings.shutdown_ms
--- a/src/amaranthrail/platform/store.py
+++ b/src/amaranthrail/platform/store.py
@@ -26,8 +26,6 @@
 _MAX_READ_KB = 1024
 _HTTP_OK = 200
 _HTTP_GONE = 410
-#: Group of the entries, one of which leads.
-LEADERS = 'leaders'
 #: Records of a read begin after the end and the first offset kept.
 _OFFSETS = struct.Struct('>QQ')
 _LENGTH = struct.Struct('>I')
@@ -52,22 +50,6 @@
     has_more: bool = False
 
 
-class _WireClaim(msgspec.Struct):
-    member: str
-    topics: list[str]
-    ttl_ms: int
-    # The last division of the partitions that the member was told of.
-    generation: int
-    group: str = LEADERS
-
-
-class _WireDealt(msgspec.Struct):
-    generation: int
-    # Rows of topic, partition and committed offset.
-    parts: list[tuple[str, int, int]]
-
-
-_dealt_decoder = msgspec.json.Decoder(_WireDealt)
 _page_decoder = msgspec.json.Decoder(_WirePage)
 
 
@@ -77,7 +59,6 @@
     def __init__(self, address: Address) -> None:
         """Take the store's address."""
         self._client = HttpClient(address)
-        self._generation = 0
 
     async def newest(self, topic: Topic) -> Snapshot | StoreFailure:
         """Return the newest record of each key; see StorePort."""
@@ -133,41 +114,6 @@
         answer = await self._call('POST', target, body)
         return answer if isinstance(answer, StoreFailure) else None
 
-    async def claim_lead(
-        self,
-        member: str,
-        ttl_ms: int,
-    ) -> bool | StoreFailure:
-        """Tell whether a member leads; see StorePort.
-
-        The store deals a topic's partitions out to the members of a group;
-        who has the first partition leads.
-        """
-        topic = _TOPIC_NAMES[Topic.ENTRIES]
-        claim = _WireClaim(member, [topic], ttl_ms, self._generation)
-        answer = await self._call(
-            'POST',
-            '/amaranthrail/log-join',
-            msgspec.json.encode(claim),
-        )
-        if isinstance(answer, StoreFailure):
-            return answer
-        try:
-            dealt = _dealt_decoder.decode(answer.body)
-        except msgspec.DecodeError as error:
-            return _malformed(Topic.ENTRIES, error)
-        self._generation = dealt.generation
-        return any(row[:2] == (topic, 0) for row in dealt.parts)
-
-    async def release_lead(self, member: str) -> StoreFailure | None:
-        """Let another member lead at once; see StorePort."""
-        answer = await self._call(
-            'POST',
-            '/amaranthrail/log-leave',
-            msgspec.json.encode({'group': LEADERS, 'member': member}),
-        )
-        return answer if isinstance(answer, StoreFailure) else None
-
     async def _call(
         self,
         method: str,
--- /dev/null
+++ b/src/amaranthrail/policy/leaving.py
@@ -0,0 +1,32 @@
+"""Tell which calls an entry that leaves still takes.
+
+Load pattern: the entries of a failure domain are restarted one after the other,
+some seconds apart, while each finishes its streams. The balancer then sends
+callers to entries that leave as well, since too few others are ready.
+"""
+
+from __future__ import annotations
+
+#: Time from the signal to stop in which streams are taken, in ms: the balancer
+#: sends new callers until it has missed two probes, a second apart, and the
+#: users let only streams of the first 3 s be cut at the kill.
+STREAM_INTAKE_MS = 2900.0
+#: Part of the time until the kill that calls in progress may take.
+FINISH_SHARE = 0.94
+
+
+def takes_call(
+    since_ms: float,
+    left_ms: float,
+    shutdown_ms: float,
+    *,
+    streaming: bool,
+) -> bool:
+    """Tell whether a call can be answered before the process is killed.
+
+    ``since_ms`` is the time since the signal to stop, ``left_ms`` what the
+    call may take, and ``shutdown_ms`` the time from the signal to the kill.
+    """
+    if streaming:
+        return since_ms < STREAM_INTAKE_MS
+    return since_ms + left_ms < FINISH_SHARE * shutdown_ms
--- /dev/null
+++ b/src/amaranthrail/policy/membership.py
@@ -0,0 +1,69 @@
+"""Tell which entries live and which of them leads, from their own reports.
+
+Load pattern: entries are killed, frozen, cut off and replaced while the
+platform's store is down, at the crest of a wave too. The lead stays with the
+entry that has run longest, so that it moves only when that one goes, and no
+call to the store is needed for it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+#: Time without a report after which an entry counts as gone, in ms; five
+#: reports of an entry without calls.
+LIFE_MS = 1500.0
+#: Time after its start in which an entry does not lead, in ms: it would have
+#: heard one report of each other entry. A shorter time is safe, as it gives way
+#: to one that has run longer.
+SETTLE_MS = 400.0
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """Hold what an entry last said of itself, and when that was heard.
+
+    ``started_at`` is the wall time of its start in ms. It only orders entries,
+    so a wrong clock decides who leads and nothing else.
+    """
+
+    host: str
+    started_at: int
+    heard_at: float
+    leaving: bool = False
+
+
+def is_alive(member: Member, now: float, life_ms: float) -> bool:
+    """Tell whether an entry was heard lately."""
+    return now - member.heard_at < life_ms
+
+
+def leads(
+    own: Member,
+    others: Iterable[Member],
+    now: float,
+    life_ms: float = LIFE_MS,
+) -> bool:
+    """Tell whether an entry is the one of those alive that has run longest.
+
+    ``own.heard_at`` is when it began to listen: it waits until it would have
+    heard the others.
+    """
+    if own.leaving or now - own.heard_at < SETTLE_MS:
+        return False
+    return all(
+        (own.started_at, own.host) < (one.started_at, one.host)
+        for one in others
+        if is_alive(one, now, life_ms) and not one.leaving
+    )
+
+
+def life_ms(entries: int, receivers: int) -> float:
+    """Return how long an entry may be silent.
+
+    Each report goes to some receivers of all entries, so a single pair talks
+    less often the more entries there are.
+    """
+    rounds = -(-max(1, entries - 1) // receivers)
+    return LIFE_MS * rounds
--- a/src/amaranthrail/ranks/keeper.py
+++ b/src/amaranthrail/ranks/keeper.py
@@ -9,10 +9,10 @@
 from ..adapters.httpclient import Address
 from ..clock import Clock, sleep
 from ..direct.deployment import Deployment, ExpertLayout, Service
-from ..direct.ports import StorePort
 from ..direct.upstreams import Upstream
 from ..direct.world import World
 from ..logs import part_logger
+from ..policy.mapchanges import can_follow
 from ..types import ServiceName
 from .leader import Leader
 from .ports import RankPort
@@ -24,10 +24,6 @@
 STREAM_STALL_MS = 450.0
 #: Time between two such looks, in ms.
 STALL_INTERVAL_MS = 500.0
-#: Time between two claims of the lead, and for which a claim holds, in ms; each
-#: move of the lead costs a second or two without changes of a map.
-CLAIM_INTERVAL_MS = 1000.0
-CLAIM_MS = 3000
 #: Pause between events where no route states one, in ms.
 DEFAULT_GAP_MS = 120.0
 _log = part_logger('keeper')
@@ -35,61 +31,19 @@
 MakeRank = Callable[[Address], RankPort]
 
 
-class Lead:
-    """Claim the lead over all groups at the store.
-
-    Two entries may believe that they lead; a change of map is safe all the
-    same, so while the store is away the lead stays as it was, until another
-    entry says that it leads.
-    """
-
-    def __init__(self, store: StorePort, member: str) -> None:
-        """Take the store and this entry's name."""
-        self._store = store
-        self._member = member
-        self._held = False
-        self._resigned = False
-
-    @property
-    def held(self) -> bool:
-        """Tell whether this entry leads."""
-        return self._held
-
-    def give_way(self, other: str) -> None:
-        """Stop leading, since another entry does."""
-        if self._held:
-            self._held = False
-            _log.info('lead changed', leading=False, leader=other)
-
-    async def run(self) -> None:
-        """Claim the lead again and again until this entry leaves."""
-        while not self._resigned:
-            claimed = await self._store.claim_lead(self._member, CLAIM_MS)
-            if isinstance(claimed, bool) and claimed is not self._held:
-                self._held = claimed and not self._resigned
-                _log.info('lead changed', leading=self._held)
-            await sleep(CLAIM_INTERVAL_MS)
-
-    async def resign(self) -> None:
-        """Leave the lead to others for good."""
-        self._resigned = True
-        self._held = False
-        await self._store.release_lead(self._member)
-
-
 class MapKeeper:
     """Lead the group of each service that has expert maps."""
 
     def __init__(
         self,
         world: World,
-        lead: Lead,
+        leads: Callable[[], bool],
         make_rank: MakeRank,
         clock: Clock,
     ) -> None:
-        """Take what is known of upstreams and how a rank is reached."""
+        """Take what is known of upstreams, who leads, how a rank is reached."""
         self._world = world
-        self._lead = lead
+        self._leads = leads
         self._make_rank = make_rank
         self._clock = clock
         self._leaders: dict[ServiceName, Leader] = {}
@@ -113,9 +67,12 @@
 
     async def _look_at_all(self, deployment: Deployment) -> None:
         for service in deployment.services.values():
-            if service.layout is not None:
-                leader = self._leader(deployment, service, service.layout)
-                await self._look(service.name, leader)
+            layout = service.layout
+            # Reports are billed, and of no use where maps cannot be changed.
+            if layout is None or not can_follow(layout.sets, layout.experts):
+                continue
+            leader = self._leader(deployment, service, layout)
+            await self._look(service.name, leader)
 
     def _leader(
         self,
@@ -132,7 +89,7 @@
 
     async def _look(self, service: ServiceName, leader: Leader) -> None:
         upstreams = self._world.directory.usable(service, frozenset())
-        if not self._lead.held:
+        if not self._leads():
             if self._is_stalled(upstreams):
                 await self._meet(service, leader, upstreams)
                 await leader.release_held()
--- a/src/amaranthrail/ranks/leader.py
+++ b/src/amaranthrail/ranks/leader.py
@@ -18,7 +18,7 @@
     plan_set,
     set_skew,
 )
-from ..policy.mapchanges import can_follow, counts_due, is_warm, pays
+from ..policy.mapchanges import counts_due, is_warm, pays
 from .change import ChangeOutcome, MapChange, Target, ask_all
 from .ports import (
     MapOrder,
@@ -36,6 +36,9 @@
 STALL_MS = 700.0
 #: Time without a pass after which a group counts as idle, in ms.
 IDLE_MS = 600.0
+#: Time for which a leader makes no change after it has seen another's, in ms:
+#: entries that are cut off from each other may all lead.
+YIELD_MS = 3000.0
 #: Versions are drawn at random in steps of this many, so that two leaders do
 #: not use the same; every other number is kept for undoing.
 VERSION_STEP = 1024
@@ -49,6 +52,7 @@
 
     epoch: int = -1
     version: int = -1
+    highest: int = -1
     placement: Placement | None = None
     last_step: int = 0
     last_step_at: float = 0
@@ -78,6 +82,7 @@
         # Another leader holds passes back at another rank, so that neither
         # lets go what the other still needs held.
         self._holder = 0
+        self._yields_until = 0.0
         self._change = MapChange(0, self._report, self._order, clock)
 
     @property
@@ -85,6 +90,11 @@
         """Return the formation that was seen last, -1 for none."""
         return self._formation.epoch
 
+    @property
+    def yields(self) -> bool:
+        """Tell whether another leader's changes keep this one from any."""
+        return self._clock.now() < self._yields_until
+
     def meet(self, ranks: Mapping[int, RankPort]) -> None:
         """Take the way to each rank."""
         self._ranks = ranks
@@ -145,13 +155,12 @@
             await self._let_go({*held, guard}, report.epoch, step)
 
     async def _lead(self, report: RankReport) -> None:
-        formation = self._formation
-        if not can_follow(self._layout.sets, self._layout.experts):
-            return
-        if formation.placement is None:
+        if self._formation.placement is None:
             await self._learn_placement(report)
         await self._count()
-        if not report.armed and self._demand.settled:
+        if self.yields or report.armed:
+            return
+        if self._demand.settled:
             await self._improve(report)
 
     async def _count(self) -> None:
@@ -209,10 +218,21 @@
                 formation.pass_ms = elapsed_ms / passes
             formation.last_step = report.step
             formation.last_step_at = now
+        self._note_others_change(report)
         if report.version != formation.version:
             formation.version = report.version
             formation.placement = None
 
+    def _note_others_change(self, report: RankReport) -> None:
+        """Leave the map to another leader that has begun to change it."""
+        formation = self._formation
+        highest = max(report.version, report.prepared, report.armed)
+        is_first_look = formation.highest < 0
+        if highest > formation.highest and not is_first_look:
+            self._yields_until = self._clock.now() + YIELD_MS
+            _log.info('map changed by another', version=highest)
+        formation.highest = max(formation.highest, highest)
+
     async def _learn_placement(self, report: RankReport) -> None:
         """Find out which experts the ranks hold in the map in use."""
         layout = self._layout
@@ -257,6 +277,8 @@
             self._formation.pass_ms,
             max(copies) * self._layout.copy_ms,
         )
+        # An undone change has used the next version as well.
+        formation.highest = target.version + 1
         outcome = await self._change.run(list(self._ranks), target)
         _log.info(
             'map changed',
@@ -311,6 +333,7 @@
             self._formation.pass_ms,
             replaces_all=True,
         )
+        self._formation.highest = target.version + 1
         return await self._change.disarm_all(list(self._ranks), target)
 
     async def _let_go(
--- a/standins/keyedlog.py
+++ b/standins/keyedlog.py
@@ -7,7 +7,6 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-import msgspec
 import trio
 
 from amaranthrail.adapters.httpserver import HttpRequest, Reply
@@ -68,7 +67,6 @@
         self._topics: dict[str, Topic] = {}
         self.fault = StoreFault.NONE
         self.calls = 0
-        self.members: set[str] = set()
 
     def topic(self, name: str) -> Topic:
         """Return a topic, made at its first use."""
@@ -90,13 +88,6 @@
 
     async def _answer(self, request: HttpRequest, reply: Reply) -> None:
         call = request.path.rpartition('/')[2]
-        if call == 'log-join':
-            await self._join(request, reply)
-            return
-        if call == 'log-leave':
-            self.members.discard(msgspec.json.decode(request.body)['member'])
-            await send_json(reply, _HTTP_OK, {})
-            return
         topic = self.topic(request.query['topic'])
         if call == 'log-newest':
             await self._newest(topic, reply)
@@ -138,10 +129,3 @@
             record = b''.join((bytes((len(name),)), name, payload))
             body += _LENGTH.pack(len(record)) + record
         await reply.whole(_HTTP_OK, (), body)
-
-    async def _join(self, request: HttpRequest, reply: Reply) -> None:
-        claim = msgspec.json.decode(request.body)
-        self.members.add(claim['member'])
-        is_first = claim['member'] == min(self.members)
-        parts = [[claim['topics'][0], 0, 0]] if is_first else []
-        await send_json(reply, _HTTP_OK, {'generation': 1, 'parts': parts})
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import pytest
 import trio
 
 from amaranthrail.exceptions import HttpError
+from amaranthrail.policy.leaving import STREAM_INTAKE_MS
 from standins.keyedlog import StoreFault
 from standins.replica import EVENTS, Behaviour
 
 from .platformbench import PlatformBench, on_platform, until
 from .platformbuild import route
 
+PLAIN_READ = route('read', 'idempotent', 'plain')
 WHOLE_STREAM = b''.join(
     f'id: {number}\ndata: {number}\n\n'.encode()
     for number in range(1, EVENTS + 1)
@@ -295,6 +299,35 @@
     on_platform(scenario)
 
 
+def test_callers_that_still_come_to_a_leaving_entry_are_answered() -> None:
+    """Replays three entries of one failure domain that leave together.
+
+    The balancer had nobody else there, and new connections were reset.
+    """
+
+    async def scenario(bench: PlatformBench) -> None:
+        long_stream = route('stream', 'streaming', 'engine', timeout_ms=8000)
+        bench.configure(2, routes=[long_stream, PLAIN_READ])
+        plain = await bench.add_replica('p1')
+        slow = await bench.add_replica('e1', 'engine')
+        slow.pause_s = 0.8
+        entry = await bench.start_entry()
+        await until(lambda: len(entry.entry.world.directory) == 2)
+        call_long = partial(entry.call, deadline_remaining_ms='8000')
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call_long, '/stream/1', 'POST')
+            await until(lambda: bool(slow.ran))
+            entry.entry.stop()
+            await trio.sleep(STREAM_INTAKE_MS / 1000 + 0.1)
+            answer = await entry.call('/read/1')
+            assert (answer.status, len(plain.ran)) == (200, 1)
+            refused = await call_long('/stream/2', 'POST')
+        assert (refused.status, len(slow.ran)) == (503, 1)
+        assert refused.header('retry-after') == '0.000'
+
+    on_platform(scenario)
+
+
 def test_bytes_beyond_ascii_pass_unchanged() -> None:
     async def scenario(bench: PlatformBench) -> None:
         replica = await bench.add_replica('p1')
--- a/tests/test_direct_policy.py
+++ b/tests/test_direct_policy.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from amaranthrail.policy.leaving import takes_call
 from amaranthrail.policy.mapchanges import (
     PRESSED_INTERVAL_MS,
     WARM_INTERVAL_MS,
@@ -36,6 +37,14 @@
 WINDOW_MS = 10_000.0
 
 
+def test_a_leaving_entry_takes_what_it_can_finish() -> None:
+    """Replays a kill 8 s after the signal to stop."""
+    assert takes_call(0, 8000, 8000, streaming=True)
+    assert not takes_call(3000, 8000, 8000, streaming=True)
+    assert takes_call(3000, 1500, 8000, streaming=False)
+    assert not takes_call(7000, 1500, 8000, streaming=False)
+
+
 def test_a_burst_is_spread_over_all_upstreams() -> None:
     source = random.Random(1)
     own = dict.fromkeys((f'u{one}' for one in range(16)), 0)
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -10,7 +10,7 @@
 
 from amaranthrail.clock import Clock
 from amaranthrail.direct.deployment import ExpertLayout
-from amaranthrail.ranks.leader import Leader
+from amaranthrail.ranks.leader import YIELD_MS, Leader
 from amaranthrail.ranks.ports import (
     MapOrder,
     OrderResult,
@@ -117,6 +117,26 @@
     lead(scenario)
 
 
+def test_of_two_leaders_that_cannot_meet_one_changes_maps() -> None:
+    """Replays two entries that are cut off from each other and both lead."""
+
+    async def scenario(group: FakeGroup, leader: Leader) -> None:
+        other = new_leader(group)
+        await look(leader, 1)
+        await look(other, 1)
+        await look(leader, 8)
+        changed = max(group.versions)
+        assert changed
+        await look(other, 8)
+        assert max(group.versions) == changed
+        # The other one's map would fit as well, and it goes on later.
+        assert other.yields
+        await trio.sleep(YIELD_MS / 1000)
+        assert not other.yields
+
+    lead(scenario)
+
+
 def test_a_pass_held_by_a_lost_leader_is_let_go() -> None:
     async def scenario(group: FakeGroup, leader: Leader) -> None:
         await look(leader, 2)
--- a/tests/test_sync.py
+++ b/tests/test_sync.py
@@ -57,12 +57,6 @@
     async def write(self, *_given: object) -> None:
         raise NotImplementedError
 
-    async def claim_lead(self, *_given: object) -> bool:
-        raise NotImplementedError
-
-    async def release_lead(self, *_given: object) -> None:
-        raise NotImplementedError
-
     async def _next(self) -> _Answer:
         if not self.answers:
             await trio.sleep(0.3)
