--- a/src/amaranthrail/direct/forward.py
+++ b/src/amaranthrail/direct/forward.py
@@ -118,9 +118,9 @@
     def _place(self, call: Call) -> Upstream | None:
         directory = self._world.directory
         usable = directory.usable(call.service, call.tried)
+        told = self._loads.totals()
         views = [
-            one.view(self._domain, self._loads.others(one.record.name))
-            for one in usable
+            one.view(self._domain, told[one.record.name]) for one in usable
         ]
         if not call.choices and not self._begins(call, views):
             return None
--- a/src/amaranthrail/direct/loads.py
+++ b/src/amaranthrail/direct/loads.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 
 import msgspec
 import trio
@@ -42,15 +43,14 @@
         """Keep an entry's latest report."""
         self._reports[sender] = _Heard(self._clock.now(), calls)
 
-    def others(self, upstream: str) -> int | None:
-        """Return other entries' calls at an upstream, None if none is heard."""
+    def totals(self) -> Counter[str]:
+        """Return other entries' calls by upstream, as far as they are heard."""
         oldest = self._clock.now() - REPORT_LIFE_MS
-        fresh = [
-            report.calls.get(upstream, 0)
-            for report in self._reports.values()
-            if report.heard_at >= oldest
-        ]
-        return sum(fresh) if fresh else None
+        totals: Counter[str] = Counter()
+        for report in self._reports.values():
+            if report.heard_at >= oldest:
+                totals.update(report.calls)
+        return totals
 
 
 class LoadExchange:
--- a/src/amaranthrail/direct/upstreams.py
+++ b/src/amaranthrail/direct/upstreams.py
@@ -94,7 +94,7 @@
         self._others = max(0, total - self._in_flight)
         self._others_at = self._clock.now()
 
-    def view(self, domain: DomainName, told: int | None) -> UpstreamView:
+    def view(self, domain: DomainName, told: int) -> UpstreamView:
         """Return what placing a call looks at.
 
         ``told`` is what other entries say of their calls here. What the
@@ -107,7 +107,7 @@
             self._record.name,
             self._record.slots,
             self._in_flight,
-            max(others, told or 0),
+            max(others, told),
             near=self._record.domain == domain,
             avoided=self._health.avoided(now),
         )
--- a/tests/test_shared_loads.py
+++ b/tests/test_shared_loads.py
@@ -32,12 +32,12 @@
 
 def test_reports_of_all_entries_add_up() -> None:
     shared = SharedLoads(Clock(FakeTime()))
-    assert shared.others('e1') is None
+    assert not shared.totals()
     shared.take('10.0.0.1', {'e1': 2})
     shared.take('10.0.0.2', {'e1': 1, 'e2': 4})
-    assert (shared.others('e1'), shared.others('e2')) == (3, 4)
+    assert shared.totals() == {'e1': 3, 'e2': 4}
     shared.take('10.0.0.1', {})
-    assert shared.others('e1') == 1
+    assert shared.totals()['e1'] == 1
 
 
 def test_a_report_of_an_entry_that_fell_silent_is_forgotten() -> None:
@@ -46,7 +46,7 @@
     shared.take('10.0.0.1', {'e1': 2})
     time.now_s += (REPORT_LIFE_MS + 1) / 1000
     shared.take('10.0.0.2', {'e1': 1})
-    assert shared.others('e1') == 1
+    assert shared.totals()['e1'] == 1
 
 
 def test_a_report_is_read_as_it_was_written() -> None:
