Let streams leave an upstream that alone is silent

A stream that has waited 1 s (or 4 passes) while others of its service had an event in the last 300 ms goes on elsewhere after its last event, where route and budget allow one more upstream; otherwise it waits on, since ending it would serve nobody. Only waits for the upstream are ended, never a write to the caller. Tests (mute from the begin, and after two events) end with 504 without the bound.

--- a/src/amaranthrail/adapters/httpclient.py
+++ b/src/amaranthrail/adapters/httpclient.py
@@ -12,7 +12,12 @@
     Awaitable,
     Iterable,
 )
-from contextlib import aclosing, asynccontextmanager
+from contextlib import (
+    AbstractContextManager,
+    aclosing,
+    asynccontextmanager,
+    nullcontext,
+)
 
 import h11
 import msgspec
@@ -171,11 +176,13 @@
         body: bytes = b'',
         *,
         fresh: bool = False,
+        patience: AbstractContextManager[None] | None = None,
     ) -> AsyncIterator[HttpExchange]:
         """Send a request and give the answer, its head already read.
 
         ``fresh`` takes a new connection, so that a failure to connect proves
-        that the server has not seen the request. Raises HttpError.
+        that the server has not seen the request; ``patience`` bounds the wait
+        for the head. Raises HttpError.
         """
         kept = None if fresh else self._take_idle()
         if kept is None:
@@ -185,7 +192,7 @@
         exchange = HttpExchange(parser, stream)
         try:
             send = self._send(parser, stream, method, target, headers, body)
-            await _begin(exchange, send, pooled=kept is not None)
+            await _begin(exchange, send, patience, pooled=kept is not None)
             yield exchange
         finally:
             await self._give_back(parser, stream, exchange)
@@ -340,13 +347,17 @@
 async def _begin(
     exchange: HttpExchange,
     send: Awaitable[None],
+    patience: AbstractContextManager[None] | None,
     *,
     pooled: bool,
 ) -> None:
     """Send a request and read its answer's head, noting what failed."""
     try:
-        await send
-        await exchange.read_head()
+        with patience or nullcontext():
+            await send
+            await exchange.read_head()
     except HttpError as error:
         error.pooled = pooled
         raise
+    if not exchange.status:
+        raise HttpError('no answer has begun', sent=True)
--- a/src/amaranthrail/direct/call.py
+++ b/src/amaranthrail/direct/call.py
@@ -48,6 +48,7 @@
     may_have_run: bool = False
     choices: list[Choice] = msgspec.field(default_factory=list)
     crest: Crest | None = None
+    repeat_counted: bool = False
 
     @property
     def tried(self) -> frozenset[str]:
--- a/src/amaranthrail/direct/departure.py
+++ b/src/amaranthrail/direct/departure.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ..clock import Clock
-from ..policy.leaving import takes_call
+from ..policy.leaving import FINISH_SHARE, takes_call
 from ..types import Millis
 from .call import Call
 
@@ -17,9 +17,10 @@
         self._shutdown_ms = shutdown_ms
         self._began_at: Millis | None = None
 
-    def begin(self) -> None:
-        """Note the signal to stop."""
+    def begin(self) -> float:
+        """Note the signal to stop; return by when all calls must have ended."""
         self._began_at = self._clock.now()
+        return self._began_at + FINISH_SHARE * self._shutdown_ms
 
     def takes(self, call: Call) -> bool:
         """Tell whether a call is taken now."""
--- a/src/amaranthrail/direct/forward.py
+++ b/src/amaranthrail/direct/forward.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from functools import partial
 
 import msgspec
 import trio
@@ -22,6 +23,7 @@
 from .loads import SharedLoads
 from .relay import StreamRelay
 from .repeats import Repeats
+from .silence import SilenceWatch
 from .upstreams import Upstream
 from .world import World
 
@@ -36,10 +38,14 @@
 
 
 class ForwarderSettings(msgspec.Struct, frozen=True):
-    """Hold where this entry is, others' loads and how refusals are told."""
+    """Hold what forwarding needs to know, and how refusals are told.
+
+    ``domain`` is where this entry is, ``loads`` what others have in flight.
+    """
 
     domain: DomainName
     loads: SharedLoads
+    watch: SilenceWatch
     refusal_headers: Callable[[Refusal], HeaderList]
 
 
@@ -61,6 +67,7 @@
         self._journal = journal
         self._domain = settings.domain
         self._loads = settings.loads
+        self._watch = settings.watch
         self._refusal_headers = settings.refusal_headers
         self._clock = Clock()
         self._random = random.Random()
@@ -68,12 +75,13 @@
     async def answer(self, call: Call, reply: Reply) -> None:
         """Answer a call; one that is given up gets its refusal at once."""
         self._repeats.note_call(call.service)
+        engines = self._world.directory.pace(call.service)
         relay = StreamRelay(
             reply,
             call.facts.last_event,
             StreamPace(call.arrived_at),
-            self._world.directory.pace(call.service),
-            self._clock,
+            engines,
+            partial(self._watch.wait, engines, partial(self._may_leave, call)),
         )
         outcome: WholeAnswer | Refusal | None = None
         left_ms = call.deadline - self._clock.now()
@@ -157,6 +165,15 @@
         )
         return begins(wish, call.crest)
 
+    def _may_leave(self, call: Call) -> bool:
+        """Tell whether a stream may leave its upstream, and count that."""
+        others = self._world.directory.usable(call.service, call.tried)
+        is_last = call.sent + 1 >= call.route.max_attempts
+        if is_last or not others or not call.route.repeatable:
+            return False
+        call.repeat_counted = self._repeats.spend(call.service)
+        return call.repeat_counted
+
     def _may_repeat(self, call: Call, attempt: WholeAnswer | Failure) -> bool:
         """Tell whether a call is sent once more, and count it."""
         if isinstance(attempt, WholeAnswer):
@@ -171,7 +188,9 @@
             return False
         if call.sent >= call.route.max_attempts or not self._has_time(call):
             return False
-        return self._repeats.spend(call.service)
+        counted = call.repeat_counted
+        call.repeat_counted = False
+        return counted or self._repeats.spend(call.service)
 
     def _may_redirect(self, call: Call, attempt: Failure) -> bool:
         """Tell whether a call that met no upstream goes to the next one."""
--- a/src/amaranthrail/direct/pace.py
+++ b/src/amaranthrail/direct/pace.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from ..clock import Clock
 
 #: Weight of the latest pause in the mean; all streams of a group pause alike,
@@ -23,11 +25,14 @@
     @property
     def pass_ms(self) -> float | None:
         """Return the time of a pass lately, None where no stream runs."""
+        return self._mean_ms if self.age_ms <= PACE_LIFE_MS else None
+
+    @property
+    def age_ms(self) -> float:
+        """Return the time since the latest pause was noted."""
         if self._noted_at is None:
-            return None
-        if self._clock.now() - self._noted_at > PACE_LIFE_MS:
-            return None
-        return self._mean_ms
+            return math.inf
+        return self._clock.now() - self._noted_at
 
     def note(self, pause_ms: float) -> None:
         """Count the pause between two events of a stream."""
--- a/src/amaranthrail/direct/relay.py
+++ b/src/amaranthrail/direct/relay.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from contextlib import aclosing
+from collections.abc import AsyncIterator, Callable
+from contextlib import AbstractContextManager, aclosing
 
 from ..adapters.httpclient import HttpExchange
 from ..adapters.httpserver import Reply
@@ -14,6 +14,9 @@
 from .pace import ServicePace
 from .streams import EventSplitter
 
+#: Makes what bounds one wait for an upstream; it swallows the end of a wait.
+Patience = Callable[[], AbstractContextManager[None]]
+
 
 class StreamRelay:
     """Carry one caller's stream over the attempts that make it up.
@@ -28,17 +31,19 @@
         last_id: str | None,
         pace: StreamPace,
         engines: ServicePace,
-        clock: Clock,
+        patience: Patience,
     ) -> None:
         """Take where the stream goes and the id that it begins after.
 
-        ``engines`` is told of each pause between events.
+        ``engines`` is told of each pause between events, ``patience`` bounds
+        each wait for one.
         """
         self._reply = reply
         self._splitter = EventSplitter(last_id)
         self._pace = pace
         self._engines = engines
-        self._clock = clock
+        self._patience = patience
+        self._clock = Clock()
 
     @property
     def pace(self) -> StreamPace:
@@ -55,6 +60,10 @@
         """Return how many events have been passed on."""
         return self._splitter.events
 
+    def patience(self) -> AbstractContextManager[None]:
+        """Return what bounds one wait for the upstream."""
+        return self._patience()
+
     async def take(
         self,
         exchange: HttpExchange,
@@ -64,9 +73,11 @@
         """Pass on a stream to its end; return why it was cut, if it was."""
         try:
             async with aclosing(exchange.parts()) as parts:
-                async for part in parts:
+                part = await self._next(parts)
+                while part is not None:
                     note_heard()
                     await self._pass_on(exchange.status, headers, part)
+                    part = await self._next(parts)
         except (HttpError, ValueError) as error:
             self._splitter.forget_torn()
             return Failure(f'stream cut: {error}', ran=True, arrived=True)
@@ -78,6 +89,13 @@
         await self._reply.finish()
         return None
 
+    async def _next(self, parts: AsyncIterator[bytes]) -> bytes | None:
+        """Return the next bytes, None at the end. Raises HttpError."""
+        # Only the wait for the upstream is ended by the watch, never a write.
+        with self.patience():
+            return await anext(parts, None)
+        raise HttpError('no event has come', sent=True)
+
     async def _pass_on(
         self,
         status: int,
--- a/src/amaranthrail/direct/service.py
+++ b/src/amaranthrail/direct/service.py
@@ -20,7 +20,6 @@
 from ..clock import Clock, move_on_after, sleep
 from ..logs import part_logger
 from ..metrics import Metrics
-from ..policy.leaving import FINISH_SHARE
 from ..ranks.keeper import MakeRank, MapKeeper
 from .attempt import Attempts
 from .callers import Callers
@@ -34,6 +33,7 @@
 from .ports import Dialect, StorePort, Topic
 from .repeats import Repeats
 from .settings import DirectSettings
+from .silence import SilenceWatch
 from .sync import (
     StoreContact,
     TopicFollower,
@@ -90,6 +90,7 @@
             lambda: self._members.count,
         )
         self._loads = SharedLoads(self._clock)
+        self._watch = SilenceWatch(self._clock)
         self._exchange = LoadExchange(
             settings,
             self._world.directory,
@@ -154,6 +155,7 @@
                 self._upstreams.run,
                 self._peers.run,
                 self._exchange.run,
+                self._watch.run,
                 self._maps.run,
                 partial(trio.serve_listeners, self._peers.serve, peers),
                 partial(self._serve_inside, probes, self._answer_probe),
@@ -187,6 +189,7 @@
             ForwarderSettings(
                 self._settings.domain,
                 self._loads,
+                self._watch,
                 self._dialect.refusal_headers,
             ),
         )
@@ -240,12 +243,11 @@
     async def _leave(self) -> None:
         _log.info('leaving', active=self._state.active)
         began = self._clock.now()
-        self._departure.begin()
+        last = self._departure.begin()
         self._state.announce_close()
         self._members.leave()
         await sleep(began + LINGER_MS - self._clock.now())
         self._state.close()
-        last = began + FINISH_SHARE * self._settings.shutdown_ms
         while self._state.active and self._clock.now() < last:
             await sleep(_CHECK_MS)
         with move_on_after(last - self._clock.now()):
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -27,6 +27,7 @@
     CUTTING = 'cutting'
     CUTTING_IN_EVENT = 'cutting-in-event'
     MUTE = 'mute'
+    STOPPING = 'stopping'
     CROSSED = 'crossed'
     UNSIGNED = 'unsigned'
     ENCODED = 'encoded'
@@ -102,6 +103,8 @@
                 if self.behaviour is Behaviour.CUTTING_IN_EVENT:
                     await reply.part(f'id: {number}\ndata: of it o'.encode())
                 return
+            if self.behaviour is Behaviour.STOPPING and number == first + 2:
+                await trio.sleep_forever()
             await reply.part(f'id: {number}\ndata: {number}\n\n'.encode())
             await trio.sleep(self.pause_s)
         await reply.finish()
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -7,6 +7,7 @@
 import pytest
 import trio
 
+from amaranthrail.adapters.httpclient import HttpAnswer
 from amaranthrail.exceptions import HttpError
 from amaranthrail.policy.leaving import STREAM_INTAKE_MS
 from standins.keyedlog import StoreFault
@@ -338,3 +339,45 @@
         assert replica.ran[0].header('x-note') == 'caf\xe9'
 
     on_platform(scenario)
+
+
+@pytest.mark.parametrize('silent_from', ['begin', 'third event'])
+def test_a_stream_leaves_an_upstream_that_alone_is_silent(
+    silent_from: str,
+) -> None:
+    """Replays replicas that are well by their word and never answer."""
+
+    async def scenario(bench: PlatformBench) -> None:
+        fast_stream = route(
+            'stream',
+            'streaming',
+            'engine',
+            timeout_ms=8000,
+            stream_resume=True,
+        )
+        bench.configure(2, routes=[fast_stream])
+        silent = await bench.add_replica('e1', 'engine')
+        silent.behaviour = Behaviour.MUTE
+        if silent_from != 'begin':
+            silent.behaviour = Behaviour.STOPPING
+        entry = await bench.start_entry()
+        await entry.until_ready()
+        call = partial(entry.call, deadline_remaining_ms='8000')
+        answers: list[HttpAnswer] = []
+
+        async def ask() -> None:
+            answers.append(await call('/stream/1', 'POST'))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await until(lambda: bool(silent.ran))
+            sound = await bench.add_replica('e2', 'engine')
+            sound.pause_s = 0.05
+            await until(lambda: len(entry.entry.world.directory) == 2)
+            while not answers:
+                await call('/stream/2', 'POST')
+        answer = answers[0]
+        assert (answer.status, answer.body) == (200, WHOLE_STREAM)
+        assert silent.cancelled
+
+    on_platform(scenario)
