Keep what entries know where all restart while the store is away

Of entries that leave, the one whose signal came last (by wall time and host, told in their datagrams) now stays until the kill, unless one that stays knows as much. Tests: the entry that starts again is never ready without it.

--- a/src/amaranthrail/direct/departure.py
+++ b/src/amaranthrail/direct/departure.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ..clock import Clock
-from ..policy.leaving import FINISH_SHARE, takes_call
+from ..policy.leaving import FINISH_SHARE, may_end, takes_call
 from ..types import Millis
 from .call import Call
 
@@ -22,6 +22,16 @@
         self._began_at = self._clock.now()
         return self._began_at + FINISH_SHARE * self._shutdown_ms
 
+    def may_end(
+        self, active: int, *, store_lost: bool, successors: int
+    ) -> bool:
+        """Tell whether the process may end, with so many calls in progress."""
+        return may_end(
+            active=active,
+            store_lost=store_lost,
+            successors=successors,
+        )
+
     def takes(self, call: Call) -> bool:
         """Tell whether a call is taken now."""
         if self._began_at is None:
--- a/src/amaranthrail/direct/loads.py
+++ b/src/amaranthrail/direct/loads.py
@@ -10,10 +10,11 @@
 
 from ..clock import Clock, sleep
 from ..logs import part_logger
+from ..policy.membership import Member
 from .members import MAX_RECEIVERS, Members
 from .news import Loads, decode_loads, encode_message
 from .settings import DirectSettings
-from .upstreams import Directory
+from .world import World
 
 #: Time between two reports to other entries, in ms: a tenth of a short stream.
 REPORT_INTERVAL_MS = 100.0
@@ -59,13 +60,14 @@
     def __init__(
         self,
         settings: DirectSettings,
-        directory: Directory,
+        world: World,
         shared: SharedLoads,
         members: Members,
     ) -> None:
         """Take what is told, where it goes, and who the others are."""
         self._address = (settings.host, settings.peer_port)
-        self._directory = directory
+        self._world = world
+        self._clock = Clock()
         self._shared = shared
         self._members = members
         self._random = random.Random()
@@ -81,7 +83,7 @@
     async def _send(self, socket: trio.socket.SocketType) -> None:
         had_calls = False
         while True:
-            calls = self._directory.calls_in_flight()
+            calls = self._world.directory.calls_in_flight()
             payload = encode_message(self._report(calls))
             for host in self._sample(sorted(self._members.hosts)):
                 await self._send_one(socket, payload, host)
@@ -92,7 +94,13 @@
     def _report(self, calls: dict[str, int]) -> Loads:
         own = self._members.own
         alive = self._sample(self._members.alive)
-        return Loads(calls, alive, own.started_at, own.leaving)
+        return Loads(
+            calls,
+            alive,
+            own.started_at,
+            own.leaving_at,
+            self._world.complete,
+        )
 
     def _sample(self, hosts: list[str]) -> list[str]:
         """Return as many hosts as one report goes to or names."""
@@ -125,8 +133,12 @@
                 continue
             self._shared.take(sender[0], report.calls)
             self._members.note_heard(
-                sender[0],
-                report.started_at,
-                leaving=report.leaving,
+                Member(
+                    sender[0],
+                    report.started_at,
+                    self._clock.now(),
+                    report.leaving_at,
+                    report.informed,
+                ),
             )
             self._members.note_named(report.hosts)
--- a/src/amaranthrail/direct/members.py
+++ b/src/amaranthrail/direct/members.py
@@ -6,7 +6,7 @@
 
 from ..clock import Clock
 from ..logs import part_logger
-from ..policy.membership import Member, is_alive, leads, life_ms
+from ..policy.membership import Member, is_alive, leads, life_ms, outlasts
 
 #: Time for which a host that fell silent still counts as one that may run an
 #: entry, in ms: regions lose each other for an hour now and then, and repeats
@@ -51,6 +51,15 @@
             one.host for one in self._heard.values() if is_alive(one, now, life)
         ]
 
+    @property
+    def successors(self) -> int:
+        """Return how many other entries can be asked once this one ends."""
+        alive = set(self.alive)
+        return sum(
+            one.host in alive and outlasts(one, self._own)
+            for one in self._heard.values()
+        )
+
     @property
     def count(self) -> int:
         """Return how many entries there may be, this one included."""
@@ -92,17 +101,25 @@
         """Take hosts that another entry has heard lately."""
         self._named |= frozenset(hosts)
 
-    def note_heard(self, host: str, started_at: int, *, leaving: bool) -> None:
+    def note_heard(self, member: Member) -> None:
         """Take an entry's word of itself."""
-        now = self._clock.now()
-        if host not in self._heard:
-            _log.info('entry heard', peer=host, started_at=started_at)
-        self._heard[host] = Member(host, started_at, now, leaving)
+        if member.host not in self._heard:
+            _log.info(
+                'entry heard',
+                peer=member.host,
+                started_at=member.started_at,
+            )
+        self._heard[member.host] = member
 
     def leave(self) -> None:
         """Say from now on that this entry leaves."""
         own = self._own
-        self._own = Member(own.host, own.started_at, own.heard_at, leaving=True)
+        self._own = Member(
+            own.host,
+            own.started_at,
+            own.heard_at,
+            self._clock.wall(),
+        )
 
     def _life_ms(self) -> float:
         return life_ms(self.count, MAX_RECEIVERS)
--- a/src/amaranthrail/direct/news.py
+++ b/src/amaranthrail/direct/news.py
@@ -44,13 +44,16 @@
     """Tell an entry's calls in flight by upstream, and about entries.
 
     ``hosts`` are some of those that it has heard lately, ``started_at`` is the
-    wall time of its own start in ms.
+    wall time of its own start in ms, ``leaving_at`` that of its signal to stop
+    (0 before), and ``informed`` says that it knows a configuration and
+    upstreams.
     """
 
     calls: dict[str, int]
     hosts: list[str]
     started_at: int
-    leaving: bool = False
+    leaving_at: int = 0
+    informed: bool = True
 
 
 _ask_decoder = msgspec.msgpack.Decoder(Ask)
--- a/src/amaranthrail/direct/service.py
+++ b/src/amaranthrail/direct/service.py
@@ -93,7 +93,7 @@
         self._watch = SilenceWatch(self._clock)
         self._exchange = LoadExchange(
             settings,
-            self._world.directory,
+            self._world,
             self._loads,
             self._members,
         )
@@ -127,6 +127,11 @@
         """Tell whether new callers should come here."""
         return self._world.complete and not self._stopping.is_set()
 
+    @property
+    def store_lost(self) -> bool:
+        """Tell whether the store did not answer the latest call."""
+        return self._contact.lost
+
     def stop(self) -> None:
         """Begin to leave."""
         self._stopping.set()
@@ -240,6 +245,13 @@
             header_timeout_ms=limits.header_timeout_ms,
         )
 
+    def _may_end(self) -> bool:
+        return self._departure.may_end(
+            self._state.active,
+            store_lost=self._contact.lost,
+            successors=self._members.successors,
+        )
+
     async def _leave(self) -> None:
         _log.info('leaving', active=self._state.active)
         began = self._clock.now()
@@ -248,7 +260,7 @@
         self._members.leave()
         await sleep(began + LINGER_MS - self._clock.now())
         self._state.close()
-        while self._state.active and self._clock.now() < last:
+        while not self._may_end() and self._clock.now() < last:
             await sleep(_CHECK_MS)
         with move_on_after(last - self._clock.now()):
             await self._maps.finish()
--- a/src/amaranthrail/policy/leaving.py
+++ b/src/amaranthrail/policy/leaving.py
@@ -2,7 +2,8 @@
 
 Load pattern: the entries of a failure domain are restarted one after the other,
 some seconds apart, while each finishes its streams. The balancer then sends
-callers to entries that leave as well, since too few others are ready.
+callers to entries that leave as well, since too few others are ready. Where all
+entries are restarted while the store is away, none would know anything.
 """
 
 from __future__ import annotations
@@ -15,6 +16,15 @@
 FINISH_SHARE = 0.94
 
 
+def may_end(*, active: int, store_lost: bool, successors: int) -> bool:
+    """Tell whether an entry that leaves may end before it must.
+
+    While the store is away, what the entries know is nowhere else: the last of
+    them waits until another can be asked.
+    """
+    return not active and (not store_lost or successors > 0)
+
+
 def takes_call(
     since_ms: float,
     left_ms: float,
--- a/src/amaranthrail/policy/membership.py
+++ b/src/amaranthrail/policy/membership.py
@@ -24,14 +24,22 @@
 class Member(msgspec.Struct, frozen=True):
     """Hold what an entry last said of itself, and when that was heard.
 
-    ``started_at`` is the wall time of its start in ms. It only orders entries,
-    so a wrong clock decides who leads and nothing else.
+    ``started_at`` and ``leaving_at`` are the wall times of its start and of its
+    signal to stop in ms, the latter 0 before. They only order entries, so a
+    wrong clock decides who leads and who ends last, and nothing else.
+    ``informed`` says that it knows a configuration and upstreams.
     """
 
     host: str
     started_at: int
     heard_at: float
-    leaving: bool = False
+    leaving_at: int = 0
+    informed: bool = True
+
+    @property
+    def leaving(self) -> bool:
+        """Tell whether it has got its signal to stop."""
+        return self.leaving_at > 0
 
 
 def is_alive(member: Member, now: float, life_ms: float) -> bool:
@@ -59,6 +67,18 @@
     )
 
 
+def outlasts(other: Member, own: Member) -> bool:
+    """Tell whether another entry can be asked after this one has ended.
+
+    Of those that leave, the one that began last stays the longest.
+    """
+    if not other.informed:
+        return False
+    return not other.leaving or (
+        (other.leaving_at, other.host) > (own.leaving_at, own.host)
+    )
+
+
 def life_ms(entries: int, receivers: int) -> float:
     """Return how long an entry may be silent.
 
--- a/tests/test_direct_policy.py
+++ b/tests/test_direct_policy.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from amaranthrail.policy.leaving import takes_call
+from amaranthrail.policy.leaving import may_end, takes_call
 from amaranthrail.policy.mapchanges import (
     PRESSED_INTERVAL_MS,
     WARM_INTERVAL_MS,
@@ -45,6 +45,14 @@
     assert not takes_call(7000, 1500, 8000, streaming=False)
 
 
+def test_the_last_entry_that_knows_waits_for_one_that_stays() -> None:
+    """Replays a restart of all entries within 5 s while the store is away."""
+    assert may_end(active=0, store_lost=False, successors=0)
+    assert may_end(active=0, store_lost=True, successors=1)
+    assert not may_end(active=0, store_lost=True, successors=0)
+    assert not may_end(active=1, store_lost=False, successors=3)
+
+
 def test_a_burst_is_spread_over_all_upstreams() -> None:
     source = random.Random(1)
     own = dict.fromkeys((f'u{one}' for one in range(16)), 0)
--- a/tests/test_lead.py
+++ b/tests/test_lead.py
@@ -53,3 +53,28 @@
         assert first.entry.leading
 
     on_platform(scenario)
+
+
+def test_what_is_known_outlasts_a_restart_of_all_entries() -> None:
+    """Replays deploy/days/leaving-domains.toml: all refused until the store."""
+
+    async def scenario(bench: PlatformBench) -> None:
+        await bench.add_replica('p1')
+        first, second = await start_two(bench)
+        await second.until_ready()
+        bench.log.fault = StoreFault.REFUSING
+        await until(lambda: first.entry.store_lost)
+        first.entry.stop()
+        second.entry.stop()
+        # Both have nothing left to do, and nobody else knows anything.
+        await trio.sleep(4)
+        third = await bench.start_entry(
+            node_name='e3',
+            seed_nodes=','.join(
+                f'{one.address.host}:8229' for one in (first, second)
+            ),
+        )
+        await third.until_ready()
+        assert (await third.call('/read/1')).status == 200
+
+    on_platform(scenario)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -12,6 +12,7 @@
     Member,
     leads,
     life_ms,
+    outlasts,
 )
 
 SETTLED = 10_000.0
@@ -37,6 +38,10 @@
     return Members(host, Clock(time, time.wall))
 
 
+def heard(host: str, time: FakeTime) -> Member:
+    return Member(host, 1, time() * 1000)
+
+
 def test_who_has_run_longest_leads() -> None:
     own = Member('b', 5000, 0)
     older = Member('c', 4000, SETTLED)
@@ -58,7 +63,7 @@
 def test_the_lead_passes_on_once_the_leader_goes(*, leaving: bool) -> None:
     own = Member('b', 5000, 0)
     silent_ms = 0 if leaving else LIFE_MS
-    leader = Member('a', 4000, SETTLED - silent_ms, leaving)
+    leader = Member('a', 4000, SETTLED - silent_ms, int(leaving))
     assert leads(own, [leader], SETTLED)
 
 
@@ -86,7 +91,7 @@
     time = FakeTime()
     members = new_members(time)
     members.take_seeds(['a', 'b'])
-    members.note_heard('c', 1, leaving=False)
+    members.note_heard(heard('c', time))
     time.pass_ms(3_600_000)
     assert members.count == 3
     assert members.alive == []
@@ -97,7 +102,7 @@
     time = FakeTime()
     members = new_members(time)
     for host in range(1000):
-        members.note_heard(f'h{host}', 1, leaving=False)
+        members.note_heard(heard(f'h{host}', time))
         time.pass_ms(MEMORY_MS / 100)
     assert members.count <= 101
 
@@ -107,7 +112,27 @@
     members = new_members(time)
     members.take_listed(['a', 'b', 'c'])
     time.pass_ms(MEMORY_MS / 2)
-    members.note_heard('c', 1, leaving=False)
+    members.note_heard(heard('c', time))
     assert members.long_lost == frozenset()
     time.pass_ms(MEMORY_MS / 2)
     assert members.long_lost == {'a'}
+
+
+def test_who_can_be_asked_after_this_entry_has_ended() -> None:
+    time = FakeTime()
+    members = new_members(time)
+    members.leave()
+    left_at = members.own.leaving_at
+    now = time() * 1000
+    members.note_heard(Member('a', 1, now, left_at - 1))
+    members.note_heard(Member('c', 1, now, informed=False))
+    assert members.successors == 0
+    members.note_heard(Member('a', 1, now, left_at + 1))
+    members.note_heard(Member('c', 1, now))
+    assert members.successors == 2
+
+
+def test_of_entries_that_leave_together_one_stays_to_the_last() -> None:
+    one, other = Member('a', 1, 0, 5000), Member('b', 1, 0, 5000)
+    assert outlasts(other, one)
+    assert not outlasts(one, other)
--- a/tests/test_shared_loads.py
+++ b/tests/test_shared_loads.py
@@ -50,7 +50,7 @@
 
 
 def test_a_report_is_read_as_it_was_written() -> None:
-    report = Loads({'e1': 3}, ['10.0.0.3'], 1000, leaving=True)
+    report = Loads({'e1': 3}, ['10.0.0.3'], 1000, 2000)
     assert decode_loads(encode_message(report)) == report
     with pytest.raises(msgspec.DecodeError):
         decode_loads(b'\xff')
