Name reports and departures for what they are; begin continued streams

Reports between entries carry more than loads and are called so; Departure holds all that is decided of leaving and takes the time until the kill as it is then; a property that logged is a method; the wait for a head is bounded for all calls by one rule, which says for itself where it does not apply. One fault found by reading: a continued stream was judged by its whole expected length, so one with few events left could be refused at a slow pass. Otherwise behaviour is as before.

--- a/src/amaranthrail/direct/attempt.py
+++ b/src/amaranthrail/direct/attempt.py
@@ -48,9 +48,6 @@
                 call.priority,
             ),
         )
-        patience = None
-        if call.route.streaming and call.route.repeatable:
-            patience = relay.patience()
         upstream.count(1)
         try:
             async with upstream.client.exchange(
@@ -61,7 +58,7 @@
                 # A kept connection may have been closed by the other end, and
                 # then nobody can tell whether the request was read.
                 fresh=not call.route.repeatable,
-                patience=patience,
+                patience=relay.patience(),
             ) as exchange:
                 return await self._take(call, upstream, relay, exchange)
         except HttpError as error:
--- a/src/amaranthrail/direct/departure.py
+++ b/src/amaranthrail/direct/departure.py
@@ -1,35 +1,41 @@
-"""Remember since when an entry leaves."""
+"""Remember since when an entry leaves, and decide what it still does."""
 
 from __future__ import annotations
 
-from ..clock import Clock
 from ..policy.leaving import FINISH_SHARE, may_end, takes_call
 from ..types import Millis
 from .call import Call
+from .members import Members
+from .sync import StoreContact
 
 
 class Departure:
-    """Tell which calls are still taken."""
-
-    def __init__(self, clock: Clock, shutdown_ms: Millis) -> None:
-        """Take the time from the signal to stop until the kill, in ms."""
-        self._clock = clock
-        self._shutdown_ms = shutdown_ms
+    """Tell which calls are still taken, and when the process may end."""
+
+    def __init__(self, contact: StoreContact, members: Members) -> None:
+        """Take what is known of the store and of the other entries."""
+        self._contact = contact
+        self._members = members
+        self._clock = contact.clock
+        self._shutdown_ms = Millis(0)
         self._began_at: Millis | None = None
 
-    def begin(self) -> float:
-        """Note the signal to stop; return by when all calls must have ended."""
+    def begin(self, shutdown_ms: Millis) -> float:
+        """Note the signal to stop; return by when all calls must have ended.
+
+        ``shutdown_ms`` is the time until the process is killed.
+        """
+        self._members.leave()
+        self._shutdown_ms = shutdown_ms
         self._began_at = self._clock.now()
-        return self._began_at + FINISH_SHARE * self._shutdown_ms
+        return self._began_at + FINISH_SHARE * shutdown_ms
 
-    def may_end(
-        self, active: int, *, store_lost: bool, successors: int
-    ) -> bool:
+    def may_end(self, active: int) -> bool:
         """Tell whether the process may end, with so many calls in progress."""
         return may_end(
             active=active,
-            store_lost=store_lost,
-            successors=successors,
+            store_lost=self._contact.lost,
+            successors=self._members.successors,
         )
 
     def takes(self, call: Call) -> bool:
--- a/src/amaranthrail/direct/loads.py
+++ b/src/amaranthrail/direct/loads.py
@@ -1,4 +1,4 @@
-"""Tell other entries how many calls this one has at each upstream."""
+"""Tell other entries that this one lives, and its calls at each upstream."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 from ..logs import part_logger
 from ..policy.membership import Member
 from .members import MAX_RECEIVERS, Members
-from .news import Loads, decode_loads, encode_message
+from .news import Report, decode_report, encode_message
 from .settings import DirectSettings
 from .world import World
 
@@ -54,7 +54,7 @@
         return totals
 
 
-class LoadExchange:
+class ReportExchange:
     """Send this entry's calls in flight to the others and take theirs."""
 
     def __init__(
@@ -91,10 +91,10 @@
             had_calls = bool(calls)
             await sleep(REPORT_INTERVAL_MS if busy else IDLE_INTERVAL_MS)
 
-    def _report(self, calls: dict[str, int]) -> Loads:
+    def _report(self, calls: dict[str, int]) -> Report:
         own = self._members.own
         alive = self._sample(self._members.alive)
-        return Loads(
+        return Report(
             calls,
             alive,
             own.started_at,
@@ -127,7 +127,7 @@
                 _log.debug('report refused', cause=str(error))
                 continue
             try:
-                report = decode_loads(payload)
+                report = decode_report(payload)
             except msgspec.DecodeError as error:
                 _log.warning('report not understood', cause=str(error))
                 continue
--- a/src/amaranthrail/direct/members.py
+++ b/src/amaranthrail/direct/members.py
@@ -6,7 +6,13 @@
 
 from ..clock import Clock
 from ..logs import part_logger
-from ..policy.membership import Member, is_alive, leads, life_ms, outlasts
+from ..policy.membership import (
+    Member,
+    expected_life_ms,
+    is_alive,
+    leads,
+    outlasts,
+)
 
 #: Time for which a host that fell silent still counts as one that may run an
 #: entry, in ms: regions lose each other for an hour now and then, and repeats
@@ -66,8 +72,16 @@
         return len(self.hosts) + 1
 
     @property
-    def leading(self) -> bool:
-        """Tell whether this entry leads the expert maps."""
+    def long_lost(self) -> frozenset[str]:
+        """Return the listed hosts that have not been heard for long."""
+        if self._clock.now() - self._own.heard_at < MEMORY_MS:
+            return frozenset()
+        self._forget_old()
+        reached = frozenset(self._heard) | self._named
+        return self._listed - reached - {self._own.host}
+
+    def check_lead(self) -> bool:
+        """Tell whether this entry leads the expert maps; log a change."""
         leading = leads(
             self._own,
             self._heard.values(),
@@ -79,15 +93,6 @@
             _log.info('lead changed', leading=leading, alive=len(self.alive))
         return leading
 
-    @property
-    def long_lost(self) -> frozenset[str]:
-        """Return the listed hosts that have not been heard for long."""
-        if self._clock.now() - self._own.heard_at < MEMORY_MS:
-            return frozenset()
-        self._forget_old()
-        reached = frozenset(self._heard) | self._named
-        return self._listed - reached - {self._own.host}
-
     def take_seeds(self, hosts: Iterable[str]) -> None:
         """Take the hosts that the settings name."""
         self._seeds = frozenset(hosts)
@@ -122,7 +127,7 @@
         )
 
     def _life_ms(self) -> float:
-        return life_ms(self.count, MAX_RECEIVERS)
+        return expected_life_ms(self.count, MAX_RECEIVERS)
 
     def _forget_old(self) -> None:
         oldest = self._clock.now() - MEMORY_MS
--- a/src/amaranthrail/direct/news.py
+++ b/src/amaranthrail/direct/news.py
@@ -40,7 +40,7 @@
     gone: list[Gone]
 
 
-class Loads(msgspec.Struct, array_like=True, frozen=True):
+class Report(msgspec.Struct, array_like=True, frozen=True):
     """Tell an entry's calls in flight by upstream, and about entries.
 
     ``hosts`` are some of those that it has heard lately, ``started_at`` is the
@@ -58,10 +58,10 @@
 
 _ask_decoder = msgspec.msgpack.Decoder(Ask)
 _news_decoder = msgspec.msgpack.Decoder(News)
-_loads_decoder = msgspec.msgpack.Decoder(Loads)
+_report_decoder = msgspec.msgpack.Decoder(Report)
 
 
-def encode_message(message: Ask | News | Loads) -> bytes:
+def encode_message(message: Ask | News | Report) -> bytes:
     """Return the bytes of a message."""
     return msgspec.msgpack.encode(message)
 
@@ -76,6 +76,6 @@
     return _news_decoder.decode(payload)
 
 
-def decode_loads(payload: bytes) -> Loads:
+def decode_report(payload: bytes) -> Report:
     """Return a report of loads. Raises msgspec.DecodeError."""
-    return _loads_decoder.decode(payload)
+    return _report_decoder.decode(payload)
--- a/src/amaranthrail/direct/peers.py
+++ b/src/amaranthrail/direct/peers.py
@@ -116,7 +116,7 @@
 
         Where one of them can be reached again, it is heard without a record.
         """
-        if not self._members.leading:
+        if not self._members.check_lead():
             return
         for host in self._members.long_lost:
             await self._store.write(Topic.ENTRIES, host, b'')
--- a/src/amaranthrail/direct/service.py
+++ b/src/amaranthrail/direct/service.py
@@ -27,7 +27,7 @@
 from .deployment import CallerLimits
 from .forward import Forwarder, ForwarderSettings
 from .journal import Journal
-from .loads import LoadExchange, SharedLoads
+from .loads import ReportExchange, SharedLoads
 from .members import Members
 from .peers import Peers, PeerTies
 from .ports import Dialect, StorePort, Topic
@@ -91,7 +91,7 @@
         )
         self._loads = SharedLoads(self._clock)
         self._watch = SilenceWatch(self._clock)
-        self._exchange = LoadExchange(
+        self._exchange = ReportExchange(
             settings,
             self._world,
             self._loads,
@@ -99,12 +99,12 @@
         )
         self._maps = MapKeeper(
             self._world,
-            lambda: self._members.leading,
+            self._members.check_lead,
             make_rank,
             self._clock,
         )
         self._state = ServerState(self._limits)
-        self._departure = Departure(self._clock, settings.shutdown_ms)
+        self._departure = Departure(self._contact, self._members)
         self._stopping = trio.Event()
 
     @property
@@ -120,7 +120,7 @@
     @property
     def leading(self) -> bool:
         """Tell whether this entry leads the expert maps."""
-        return self._members.leading
+        return self._members.check_lead()
 
     @property
     def ready(self) -> bool:
@@ -245,22 +245,16 @@
             header_timeout_ms=limits.header_timeout_ms,
         )
 
-    def _may_end(self) -> bool:
-        return self._departure.may_end(
-            self._state.active,
-            store_lost=self._contact.lost,
-            successors=self._members.successors,
-        )
-
     async def _leave(self) -> None:
         _log.info('leaving', active=self._state.active)
         began = self._clock.now()
-        last = self._departure.begin()
+        last = self._departure.begin(self._settings.shutdown_ms)
         self._state.announce_close()
-        self._members.leave()
         await sleep(began + LINGER_MS - self._clock.now())
         self._state.close()
-        while not self._may_end() and self._clock.now() < last:
+        while self._clock.now() < last:
+            if self._departure.may_end(self._state.active):
+                break
             await sleep(_CHECK_MS)
         with move_on_after(last - self._clock.now()):
             await self._maps.finish()
--- a/src/amaranthrail/policy/crest.py
+++ b/src/amaranthrail/policy/crest.py
@@ -44,7 +44,8 @@
 class StreamWish(msgspec.Struct, frozen=True):
     """Describe a stream that a caller asks for.
 
-    ``passes`` is the expected number of passes that write it, 0 if unknown.
+    ``passes`` is the expected number of passes that write all of it, 0 if
+    unknown; ``continued`` says that its caller has the begin of it.
     """
 
     left_ms: float
@@ -63,7 +64,8 @@
 
 def begins(wish: StreamWish, crest: Crest) -> bool:
     """Tell whether a stream begins now; otherwise its caller returns."""
-    if crest.pass_ms is not None:
+    # How much of a stream is left is not known.
+    if crest.pass_ms is not None and not wish.continued:
         sure_ms = SURE_LENGTH_SHARE * wish.passes * crest.pass_ms
         if sure_ms > wish.left_ms:
             return False
--- a/src/amaranthrail/policy/membership.py
+++ b/src/amaranthrail/policy/membership.py
@@ -79,7 +79,7 @@
     )
 
 
-def life_ms(entries: int, receivers: int) -> float:
+def expected_life_ms(entries: int, receivers: int) -> float:
     """Return how long an entry may be silent.
 
     Each report goes to some receivers of all entries, so a single pair talks
--- a/tests/test_wave.py
+++ b/tests/test_wave.py
@@ -63,6 +63,7 @@
     assert not begins(StreamWish(8000, 8000, passes=23), free)
     assert begins(StreamWish(8000, 8000, passes=8), free)
     assert begins(StreamWish(8000, 8000), free)
+    assert begins(StreamWish(8000, 8000, passes=23, continued=True), free)
 
 
 def test_refused_callers_return_spread_within_their_time() -> None:
