Ask the entry that has a later configuration where the store does not tell

Reports between entries now name the version; an entry that is behind for 0.8 s asks the one that is not. Test: an entry whose store says nothing new has a version within 2 s (never before).

--- a/src/amaranthrail/direct/loads.py
+++ b/src/amaranthrail/direct/loads.py
@@ -100,6 +100,7 @@
             own.started_at,
             own.leaving_at,
             self._world.complete,
+            self._world.version,
         )
 
     def _sample(self, hosts: list[str]) -> list[str]:
@@ -142,3 +143,4 @@
                 ),
             )
             self._members.note_named(report.hosts)
+            self._world.note_version(report.version, sender[0])
--- a/src/amaranthrail/direct/news.py
+++ b/src/amaranthrail/direct/news.py
@@ -45,8 +45,8 @@
 
     ``hosts`` are some of those that it has heard lately, ``started_at`` is the
     wall time of its own start in ms, ``leaving_at`` that of its signal to stop
-    (0 before), and ``informed`` says that it knows a configuration and
-    upstreams.
+    (0 before), ``informed`` says that it knows a configuration and upstreams,
+    and ``version`` is that of its configuration.
     """
 
     calls: dict[str, int]
@@ -54,6 +54,7 @@
     started_at: int
     leaving_at: int = 0
     informed: bool = True
+    version: int = 0
 
 
 _ask_decoder = msgspec.msgpack.Decoder(Ask)
--- a/src/amaranthrail/direct/peers.py
+++ b/src/amaranthrail/direct/peers.py
@@ -28,7 +28,7 @@
 from .ports import Snapshot, StorePort, StoreRecord, Topic
 from .settings import DirectSettings
 from .sync import StoreContact
-from .world import World
+from .world import NewerVersion, World
 
 #: Silence of the store after which other entries are asked, in ms; it may
 #: hold a read for 3,000.
@@ -42,6 +42,9 @@
 LIST_INTERVAL_MS = 30_000.0
 #: Time until a failed write of this entry's own record is tried again, in ms.
 REGISTER_AGAIN_MS = 2000.0
+#: Time after which an entry that knows a later configuration is asked for it,
+#: in ms: the store tells within 400, and it must be in force within 2,000.
+OVERDUE_MS = 800.0
 _BROKEN = (*STREAM_ERRORS, msgspec.DecodeError)
 _log = part_logger('peers')
 
@@ -127,10 +130,19 @@
             await sleep(ASK_INTERVAL_MS)
             lacking = not self._world.complete
             silent = self._contact.silent_ms > SILENCE_MS
+            newer = self._world.newer
+            if newer is not None and self._is_overdue(newer):
+                await self._ask(newer.host)
+                self._world.forget_newer()
+                continue
             hosts = sorted(self._members.hosts)
             if hosts and (self._contact.lost or lacking or silent):
                 await self._ask(self._random.choice(hosts))
 
+    def _is_overdue(self, newer: NewerVersion) -> bool:
+        """Tell whether the store should have told of a version by now."""
+        return self._contact.clock.now() - newer.noted_at > OVERDUE_MS
+
     async def _ask(self, host: str) -> None:
         cause = 'no answer in time'
         try:
--- a/src/amaranthrail/direct/world.py
+++ b/src/amaranthrail/direct/world.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from ..clock import Clock
 from ..logs import part_logger
 from ..types import ServiceName
@@ -12,6 +14,14 @@
 _log = part_logger('world')
 
 
+class NewerVersion(msgspec.Struct, frozen=True):
+    """Say since when another entry is known to have a later configuration."""
+
+    version: int
+    host: str
+    noted_at: float
+
+
 class World:
     """Take in news from the store or from other entries, whichever is first.
 
@@ -22,6 +32,8 @@
         """Start without knowing anything."""
         self._dialect = dialect
         self._deployment: Deployment | None = None
+        self._clock = clock
+        self._newer: NewerVersion | None = None
         self._directory = Directory(clock)
 
     @property
@@ -34,6 +46,14 @@
         """Return the version in force, 0 for none."""
         return 0 if self._deployment is None else self._deployment.version
 
+    @property
+    def newer(self) -> NewerVersion | None:
+        """Return who has a later configuration than this entry, if any."""
+        newer = self._newer
+        if newer is None or newer.version <= self.version:
+            return None
+        return newer
+
     @property
     def directory(self) -> Directory:
         """Return the upstreams."""
@@ -50,6 +70,15 @@
         """Tell whether calls can be served from what is known."""
         return self._deployment is not None and len(self._directory) > 0
 
+    def note_version(self, version: int, host: str) -> None:
+        """Note which version another entry has."""
+        if version > self.version and self.newer is None:
+            self._newer = NewerVersion(version, host, self._clock.now())
+
+    def forget_newer(self) -> None:
+        """Forget who has a later configuration; the next report tells."""
+        self._newer = None
+
     def take_configuration(self, record: StoreRecord, source: str) -> None:
         """Take a record of the configuration's topic."""
         named = record.key == self._dialect.configuration_key
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -10,11 +10,12 @@
 from amaranthrail.adapters.httpclient import HttpAnswer
 from amaranthrail.exceptions import HttpError
 from amaranthrail.policy.leaving import STREAM_INTAKE_MS
-from standins.keyedlog import StoreFault
+from standins.keyedlog import KeyedLog, StoreFault
+from standins.platformfleet import listen
 from standins.replica import EVENTS, Behaviour
 
 from .platformbench import PlatformBench, on_platform, until
-from .platformbuild import route
+from .platformbuild import configuration, route
 
 PLAIN_READ = route('read', 'idempotent', 'plain')
 WHOLE_STREAM = b''.join(
@@ -265,6 +266,30 @@
     on_platform(scenario)
 
 
+def test_an_entry_whose_read_was_lost_learns_a_version_from_others() -> None:
+    """Replays a read of the store that gives nothing, though it answers."""
+
+    async def scenario(bench: PlatformBench) -> None:
+        await bench.add_replica('p1')
+        first = await bench.start_entry()
+        await first.until_ready()
+        async with trio.open_nursery() as nursery:
+            stale = KeyedLog()
+            stale.topic('keyed.op').put('config', configuration(1))
+            address = await listen(nursery, stale.handle)
+            settings = {
+                'seed_nodes': f'{first.address.host}:1',
+                'platform.address': str(address),
+            }
+            second = await bench.start_entry(**settings)
+            await until(lambda: second.entry.world.version == 1)
+            bench.configure(9)
+            await until(lambda: second.entry.world.version == 9, bound_s=2)
+            nursery.cancel_scope.cancel()
+
+    on_platform(scenario)
+
+
 def test_an_entry_that_knows_nothing_is_not_ready() -> None:
     async def scenario(bench: PlatformBench) -> None:
         bench.log.fault = StoreFault.REFUSING
