--- a/src/amaranthrail/direct/forward.py
+++ b/src/amaranthrail/direct/forward.py
@@ -13,9 +13,9 @@
 from ..adapters.problem import send_refusal
 from ..clock import Clock, move_on_after
 from ..outcomes import Reason, Refusal, not_run, unknown
-from ..policy.crest import Crest, StreamWish, begins, return_later
+from ..policy.crest import Crest, StreamWish, begins
 from ..policy.placement import UpstreamView, place
-from ..policy.returns import return_after
+from ..policy.returns import return_after, return_later
 from ..types import DomainName, HeaderList
 from .attempt import Attempts
 from .call import Call, Choice, Failure, StreamPace, WholeAnswer
@@ -40,7 +40,8 @@
 class ForwarderSettings(msgspec.Struct, frozen=True):
     """Hold what forwarding needs to know, and how refusals are told.
 
-    ``domain`` is where this entry is, ``loads`` what others have in flight.
+    ``domain`` is where this entry is, ``loads`` what others have in flight, and
+    ``watch`` what ends waits for a silent upstream.
     """
 
     domain: DomainName
--- a/src/amaranthrail/direct/members.py
+++ b/src/amaranthrail/direct/members.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Collection, Iterable
 
+from msgspec.structs import replace
+
 from ..clock import Clock
 from ..logs import part_logger
 from ..policy.membership import (
@@ -51,20 +53,12 @@
     @property
     def alive(self) -> list[str]:
         """Return the hosts of the entries that were heard lately."""
-        now = self._clock.now()
-        life = self._life_ms()
-        return [
-            one.host for one in self._heard.values() if is_alive(one, now, life)
-        ]
+        return [one.host for one in self._living()]
 
     @property
     def successors(self) -> int:
         """Return how many other entries can be asked once this one ends."""
-        alive = set(self.alive)
-        return sum(
-            one.host in alive and outlasts(one, self._own)
-            for one in self._heard.values()
-        )
+        return sum(outlasts(one, self._own) for one in self._living())
 
     @property
     def count(self) -> int:
@@ -118,13 +112,13 @@
 
     def leave(self) -> None:
         """Say from now on that this entry leaves."""
-        own = self._own
-        self._own = Member(
-            own.host,
-            own.started_at,
-            own.heard_at,
-            self._clock.wall(),
-        )
+        self._own = replace(self._own, leaving_at=self._clock.wall())
+
+    def _living(self) -> list[Member]:
+        """Return the other entries that were heard lately."""
+        now = self._clock.now()
+        life = self._life_ms()
+        return [one for one in self._heard.values() if is_alive(one, now, life)]
 
     def _life_ms(self) -> float:
         return expected_life_ms(self.count, MAX_RECEIVERS)
--- a/src/amaranthrail/direct/peers.py
+++ b/src/amaranthrail/direct/peers.py
@@ -128,16 +128,22 @@
     async def _ask_on(self) -> None:
         while True:
             await sleep(ASK_INTERVAL_MS)
-            lacking = not self._world.complete
-            silent = self._contact.silent_ms > SILENCE_MS
             newer = self._world.newer
             if newer is not None and self._is_overdue(newer):
                 await self._ask(newer.host)
                 self._world.forget_newer()
-                continue
-            hosts = sorted(self._members.hosts)
-            if hosts and (self._contact.lost or lacking or silent):
-                await self._ask(self._random.choice(hosts))
+            elif self._lacks_news():
+                await self._ask_any()
+
+    def _lacks_news(self) -> bool:
+        """Tell whether the store gives this entry nothing or not enough."""
+        silent = self._contact.silent_ms > SILENCE_MS
+        return self._contact.lost or silent or not self._world.complete
+
+    async def _ask_any(self) -> None:
+        hosts = sorted(self._members.hosts)
+        if hosts:
+            await self._ask(self._random.choice(hosts))
 
     def _is_overdue(self, newer: NewerVersion) -> bool:
         """Tell whether the store should have told of a version by now."""
--- a/src/amaranthrail/policy/crest.py
+++ b/src/amaranthrail/policy/crest.py
@@ -10,8 +10,6 @@
 
 from __future__ import annotations
 
-import random
-
 import msgspec
 
 #: Work per slot up to which streams of fresh callers begin, and those of
@@ -23,11 +21,6 @@
 SURE_LENGTH_SHARE = 0.5
 #: Part of the route's time from which a caller counts as fresh.
 FRESH_TIME_SHARE = 0.85
-#: Part of the time left after which a refused caller may be told to return; it
-#: comes back sooner than asked if that is more than a third.
-MAX_RETURN_SHARE = 0.32
-#: The earliest return, as a part of the latest.
-MIN_RETURN_SHARE = 0.3
 
 
 class Crest(msgspec.Struct, frozen=True):
@@ -71,12 +64,3 @@
             return False
     limit = FRESH_LOAD if wish.is_fresh else RETURNED_LOAD
     return crest.least_load <= limit
-
-
-def return_later(left_ms: float, source: random.Random) -> int:
-    """Return when a refused caller should come back, in ms.
-
-    Returns are spread, and late enough to meet less demand.
-    """
-    latest_ms = MAX_RETURN_SHARE * left_ms
-    return int(source.uniform(MIN_RETURN_SHARE * latest_ms, latest_ms))
--- a/src/amaranthrail/policy/placement.py
+++ b/src/amaranthrail/policy/placement.py
@@ -36,7 +36,6 @@
     others: float = 0
     near: bool = False
     avoided: bool = False
-    pace: float = 1
 
     @property
     def load_per_slot(self) -> float:
@@ -46,7 +45,7 @@
     @property
     def cost(self) -> float:
         """Return what is least at the upstream that answers soonest."""
-        return self.load_per_slot * self.pace - NEAR_BONUS * self.near
+        return self.load_per_slot - NEAR_BONUS * self.near
 
 
 def age_others(others: float, age_ms: float) -> float:
--- a/src/amaranthrail/policy/returns.py
+++ b/src/amaranthrail/policy/returns.py
@@ -1,8 +1,9 @@
 """Say when callers that are refused should return.
 
 Load pattern: after a loss of many hosts all callers come back within the same
-second and meet a service that has just begun to serve. Their return is spread
-over a time that grows with what is ahead of them.
+second and meet a service that has just begun to serve, so their return is
+spread. At the crest of a wave engines stay full for seconds, so there callers
+return later, as far as their time allows.
 """
 
 from __future__ import annotations
@@ -13,9 +14,22 @@
 MIN_RETURN_MS = 150.0
 #: Spread of returns where nothing is known of the wait, in milliseconds.
 RETURN_SPREAD_MS = 600.0
+#: Part of the time left after which a caller refused at the crest may be told
+#: to return; it comes back sooner than asked if that is more than a third.
+MAX_RETURN_SHARE = 0.32
+#: The earliest such return, as a part of the latest.
+MIN_RETURN_SHARE = 0.3
 
 
-def return_after(source: random.Random, ahead_ms: float = 0) -> int:
+def return_after(source: random.Random) -> int:
     """Return the milliseconds until a caller should try again."""
-    spread = source.uniform(0, RETURN_SPREAD_MS + ahead_ms)
-    return int(MIN_RETURN_MS + ahead_ms / 2 + spread)
+    return int(MIN_RETURN_MS + source.uniform(0, RETURN_SPREAD_MS))
+
+
+def return_later(left_ms: float, source: random.Random) -> int:
+    """Return the milliseconds until a caller meets less demand.
+
+    ``left_ms`` is the time that it has left.
+    """
+    latest_ms = MAX_RETURN_SHARE * left_ms
+    return int(source.uniform(MIN_RETURN_SHARE * latest_ms, latest_ms))
--- a/tests/test_wave.py
+++ b/tests/test_wave.py
@@ -6,13 +6,8 @@
 
 import pytest
 
-from amaranthrail.policy.crest import (
-    MAX_RETURN_SHARE,
-    Crest,
-    StreamWish,
-    begins,
-    return_later,
-)
+from amaranthrail.policy.crest import Crest, StreamWish, begins
+from amaranthrail.policy.returns import MAX_RETURN_SHARE, return_later
 from bench.enginemodel import End, begin_all
 from bench.wave import SCENES, returned, serve, worst_windows, worth
 
