Give each rank group of a service its own leader

Change: ranks/groups finds out which upstream is which rank of which group in which epoch and keeps it as upstreams come, go and restart; the controller has a leader a group and updates all groups concurrently. An entry that is not the leader looks at the streams of each group, so that the streams of one do not conceal a held step of another. Ruled out: nothing else places orders. Before: tests/test_map_controller fails (mixed steps or no change of one group).

--- a/src/amaranthrail/direct/clusterstate.py
+++ b/src/amaranthrail/direct/clusterstate.py
@@ -7,7 +7,7 @@
 from ..clock import Clock
 from ..logs import part_logger
 from ..types import ServiceName
-from .deployment import Deployment, Service
+from .deployment import CallerLimits, Deployment, Service
 from .ports import StoreRecord, WireFormat
 from .upstreams import Directory
 
@@ -49,6 +49,13 @@
         """Return the version in force, 0 before the first."""
         return 0 if self._deployment is None else self._deployment.version
 
+    @property
+    def caller_limits(self) -> CallerLimits:
+        """Return the limits in force, the defaults before the first."""
+        if self._deployment is None:
+            return CallerLimits()
+        return self._deployment.limits
+
     @property
     def newer_version(self) -> NewerVersion | None:
         """Return the reported later version, None once it is in force."""
--- a/src/amaranthrail/direct/service.py
+++ b/src/amaranthrail/direct/service.py
@@ -20,12 +20,12 @@
 from ..clock import Clock, move_on_after, sleep
 from ..logs import part_logger
 from ..metrics import Metrics
-from ..ranks.controller import MakeRank, MapController
+from ..ranks.controller import MapController
+from ..ranks.ports import MakeRank
 from .attempt import AttemptSender
 from .callers import CallerHandler
 from .calllog import CallLog
 from .clusterstate import ClusterState
-from .deployment import CallerLimits
 from .forward import Forwarder, ForwarderSettings
 from .loads import ReportExchange, SharedLoads
 from .members import Members
@@ -240,10 +240,7 @@
         await send_metrics(reply, self._metrics)
 
     def _limits(self) -> ServerLimits:
-        deployment = self._cluster.deployment
-        limits = CallerLimits()
-        if deployment is not None:
-            limits = deployment.limits
+        limits = self._cluster.caller_limits
         return ServerLimits(
             limits.max_body_bytes,
             limits.max_header_bytes,
--- a/src/amaranthrail/direct/upstreams.py
+++ b/src/amaranthrail/direct/upstreams.py
@@ -9,7 +9,7 @@
 from ..logs import part_logger
 from ..policy.outliers import Health
 from ..policy.selection import UpstreamView, decay_others
-from ..types import DomainName, ServiceName
+from ..types import DomainName, GroupName, ServiceName
 from .deployment import OrderKey, UpstreamRecord, UpstreamState
 from .ports import ReportedLoad
 from .steptimes import StepTimes
@@ -40,6 +40,7 @@
         self._other_calls = 0.0
         self._other_calls_at = clock.now()
         self._active_at = clock.now()
+        self._group: GroupName | None = None
 
     @property
     def record(self) -> UpstreamRecord:
@@ -56,6 +57,11 @@
         """Return the outlier detection state since the last restart or move."""
         return self._health
 
+    @property
+    def group(self) -> GroupName | None:
+        """Return the group that it is a rank of, None where unknown."""
+        return self._group
+
     @property
     def in_flight(self) -> int:
         """Return the number of this entry's calls in flight at the upstream."""
@@ -66,6 +72,10 @@
         """Return the time since it last sent data or got a call while idle."""
         return self._clock.now() - self._active_at
 
+    def assign_group(self, group: GroupName) -> None:
+        """Record the group that the upstream is a rank of until it restarts."""
+        self._group = group
+
     def record_activity(self) -> None:
         """Record that the upstream has just sent data."""
         self._active_at = self._clock.now()
@@ -81,6 +91,7 @@
             self._client.close_idle()
             self._client = _make_client(record)
             self._health = Health()
+            self._group = None
         self._record = record
 
     def adjust_in_flight(self, change: int) -> None:
--- a/src/amaranthrail/ranks/controller.py
+++ b/src/amaranthrail/ranks/controller.py
@@ -1,38 +1,62 @@
-"""Control the expert maps of every service whose engines have them."""
+"""Control the expert maps of every rank group of every service."""
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Iterable
+from functools import partial
 
 import trio
 
-from ..adapters.httpclient import Address
 from ..clock import Clock, sleep
 from ..direct.clusterstate import ClusterState
 from ..direct.deployment import Deployment, ExpertLayout, Service
 from ..direct.upstreams import Upstream
 from ..logs import part_logger
 from ..policy.rebalancing import can_rebalance
-from ..types import ServiceName
+from ..types import GroupName, ServiceName
+from .groups import GroupDirectory, GroupKey, RankPorts
 from .leader import Leader
-from .ports import RankPort
+from .ports import MakeRank
 
-#: Time between two updates of all groups, in ms.
+#: Time between two updates of a group, in ms.
 CYCLE_MS = 250.0
-#: Time without an event on any stream of a service after which an entry that
-#: is not the leader looks for a held step, in ms; a step takes 30 to 120.
+#: Time without an event on any stream of a group after which an entry that is
+#: not the leader looks for a held step, in ms; a step takes 30 to 120.
 STREAM_STALL_MS = 450.0
 #: Time between two such searches, in ms.
 STALL_INTERVAL_MS = 500.0
 #: Target gap between events where no route states one, in ms.
 DEFAULT_GAP_MS = 120.0
+#: Interval between checks whether a group's cycle has ended, in ms.
+_IDLE_CHECK_MS = 20.0
 _log = part_logger('keeper')
 
-MakeRank = Callable[[Address], RankPort]
+
+class _ControlledGroup:
+    """Pair a group's leader with the lock that each of its cycles holds."""
+
+    def __init__(self, leader: Leader) -> None:
+        self.leader = leader
+        self.cycle_lock = trio.Lock()
+        self._ranks: RankPorts = {}
+
+    def replace_ranks(self, ranks: RankPorts) -> None:
+        """Give the leader the known ranks where they have changed."""
+        if dict(ranks) != dict(self._ranks):
+            self._ranks = ranks
+            self.leader.replace_ranks(ranks)
+
+    async def wait_until_idle(self) -> None:
+        """Return once no cycle is in progress."""
+        while self.cycle_lock.locked():
+            await sleep(_IDLE_CHECK_MS)
+
+
+_GroupUpdate = Callable[[GroupKey, _ControlledGroup], Awaitable[None]]
 
 
 class MapController:
-    """Manage the group of each service that has expert maps.
+    """Manage all groups of each service that has expert maps, concurrently.
 
     Only the entry that is leader changes maps; the others release steps that
     a lost leader has left held.
@@ -50,107 +74,115 @@
         self._is_leader = is_leader
         self._make_rank = make_rank
         self._clock = clock
-        self._leaders: dict[ServiceName, Leader] = {}
-        # Names of the upstreams whose ranks the leaders have been given.
-        self._queried: dict[ServiceName, frozenset[str]] = {}
+        self._directories: dict[ServiceName, GroupDirectory] = {}
+        self._groups: dict[GroupKey, _ControlledGroup] = {}
         self._stall_found_at = clock.now()
-        self._cycle_lock = trio.Lock()
 
     async def run(self) -> None:
-        """Update all groups every CYCLE_MS until cancelled."""
-        while True:
-            await sleep(CYCLE_MS)
-            deployment = self._cluster.deployment
-            if deployment is not None:
-                async with self._cycle_lock:
-                    await self._update_groups(deployment)
+        """Update all groups every CYCLE_MS until cancelled.
+
+        A group whose last update is still in progress is left out.
+        """
+        async with trio.open_nursery() as nursery:
+            while True:
+                await sleep(CYCLE_MS)
+                deployment = self._cluster.deployment
+                if deployment is not None:
+                    await self._update_services(nursery, deployment)
 
     async def wait_until_idle(self) -> None:
         """Return once no change of a map is in progress here."""
-        async with self._cycle_lock:
-            _log.info('expert map changes finished')
+        for group in list(self._groups.values()):
+            await group.wait_until_idle()
+        _log.info('expert map changes finished')
 
-    async def _update_groups(self, deployment: Deployment) -> None:
+    async def _update_services(
+        self, nursery: trio.Nursery, deployment: Deployment
+    ) -> None:
         for service in deployment.services.values():
             layout = service.layout
             # Reports are billed, and of no use where maps cannot be changed.
             if layout is None or not can_rebalance(layout.sets, layout.experts):
                 continue
-            leader = self._get_leader(deployment, service, layout)
-            await self._update_group(service.name, leader)
+            make_leader = partial(_make_leader, deployment, service, layout)
+            await self._update_service(nursery, service, make_leader)
 
-    def _get_leader(
+    async def _update_service(
         self,
-        deployment: Deployment,
+        nursery: trio.Nursery,
         service: Service,
-        layout: ExpertLayout,
-    ) -> Leader:
-        leader = self._leaders.get(service.name)
-        if leader is None:
-            gap_ms = deployment.target_gap_ms(service.name) or DEFAULT_GAP_MS
-            leader = Leader(layout, gap_ms, self._clock)
-            self._leaders[service.name] = leader
-        return leader
-
-    async def _update_group(
-        self,
-        service: ServiceName,
-        leader: Leader,
+        make_leader: Callable[[Clock], Leader],
     ) -> None:
         upstreams = self._cluster.directory.ready_upstreams(
-            service, frozenset()
+            service.name, frozenset()
         )
+        update: _GroupUpdate = self._lead
         if not self._is_leader():
-            if self._is_stalled(upstreams):
-                await self._discover_ranks(service, leader, upstreams)
-                await leader.recover_held_step()
-            return
-        await self._discover_ranks(service, leader, upstreams)
+            stalled = self._stalled_groups(upstreams)
+            if not stalled:
+                return
+            update = self._recover
+            for name in stalled:
+                self._directory(service.name).forget(name)
+        directory = self._directory(service.name)
+        await directory.refresh(upstreams)
+        for key, ranks in directory.groups.items():
+            group = self._groups.get(key)
+            if group is None:
+                group = _ControlledGroup(make_leader(self._clock))
+                self._groups[key] = group
+            if not group.cycle_lock.locked():
+                group.replace_ranks(ranks)
+                nursery.start_soon(update, key, group)
+
+    async def _lead(self, key: GroupKey, group: _ControlledGroup) -> None:
+        leader = group.leader
         epoch = leader.epoch
-        reached = await leader.run_cycle()
+        async with group.cycle_lock:
+            reached = await leader.run_cycle()
         if not reached or leader.epoch != epoch:
-            # Rank numbers may have been assigned anew: query all upstreams.
-            self._queried.pop(service, None)
+            # Rank numbers may have been assigned anew.
+            self._directory(key.service).forget(key.group)
+
+    async def _recover(self, _key: GroupKey, group: _ControlledGroup) -> None:
+        async with group.cycle_lock:
+            await group.leader.recover_held_step()
+
+    def _stalled_groups(
+        self, upstreams: Iterable[Upstream]
+    ) -> set[GroupName | None]:
+        """Return the groups whose streams here have all stopped.
 
-    def _is_stalled(self, upstreams: list[Upstream]) -> bool:
-        """Tell whether all streams of a service have stopped."""
+        Upstreams whose group is unknown count as one group, None.
+        """
         now = self._clock.now()
         if now - self._stall_found_at < STALL_INTERVAL_MS:
-            return False
-        silent_ms = [
-            upstream.silent_ms for upstream in upstreams if upstream.in_flight
-        ]
-        if not silent_ms or min(silent_ms) < STREAM_STALL_MS:
-            return False
-        self._stall_found_at = now
-        return True
-
-    async def _discover_ranks(
-        self,
-        service: ServiceName,
-        leader: Leader,
-        upstreams: list[Upstream],
-    ) -> None:
-        """Find out the rank of each upstream if the upstreams have changed."""
-        names = frozenset(upstream.record.name for upstream in upstreams)
-        if names != self._queried.get(service):
-            self._queried[service] = names
-            leader.replace_ranks(await self._query_upstreams(upstreams))
-
-    async def _query_upstreams(
-        self,
-        upstreams: list[Upstream],
-    ) -> dict[int, RankPort]:
-        ports: dict[int, RankPort] = {}
+            return set()
+        silent_ms: dict[GroupName | None, float] = {}
+        for upstream in upstreams:
+            if upstream.in_flight:
+                least_ms = silent_ms.get(upstream.group, upstream.silent_ms)
+                silent_ms[upstream.group] = min(least_ms, upstream.silent_ms)
+        stalled = {
+            name
+            for name, least_ms in silent_ms.items()
+            if least_ms >= STREAM_STALL_MS
+        }
+        if stalled:
+            self._stall_found_at = now
+        return stalled
+
+    def _directory(self, service: ServiceName) -> GroupDirectory:
+        return self._directories.setdefault(
+            service, GroupDirectory(service, self._make_rank, self._clock)
+        )
 
-        async def query_upstream(upstream: Upstream) -> None:
-            record = upstream.record
-            port = self._make_rank(Address(record.host, record.port))
-            report = await port.fetch_report()
-            if report is not None:
-                ports[report.rank] = port
 
-        async with trio.open_nursery() as nursery:
-            for upstream in upstreams:
-                nursery.start_soon(query_upstream, upstream)
-        return ports
+def _make_leader(
+    deployment: Deployment,
+    service: Service,
+    layout: ExpertLayout,
+    clock: Clock,
+) -> Leader:
+    gap_ms = deployment.target_gap_ms(service.name) or DEFAULT_GAP_MS
+    return Leader(layout, gap_ms, clock)
--- a/src/amaranthrail/ranks/ports.py
+++ b/src/amaranthrail/ranks/ports.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from enum import Enum
 from typing import Protocol
 
 import msgspec
 
+from ..adapters.httpclient import Address
+
 #: The experts that each rank holds, by layer set and rank.
 Placement = tuple[tuple[tuple[int, ...], ...], ...]
 
@@ -110,3 +113,7 @@
 
     async def send_order(self, order: MapOrder) -> OrderResult:
         """Send an order and return whether the rank accepted it."""
+
+
+#: Returns the port to the rank at an address.
+MakeRank = Callable[[Address], RankPort]
--- a/tests/lockstep.py
+++ b/tests/lockstep.py
@@ -16,10 +16,14 @@
     OrderKind,
     OrderResult,
     Placement,
+    RankCounts,
+    RankExperts,
     RankReport,
 )
 
 STEP_S = 0.04
+#: Experts of the one layer set.
+EXPERTS = 8
 COPY_S = 0.2
 ORDER_TIMEOUT_S = ORDER_TIMEOUT_MS / 1000
 
@@ -44,8 +48,11 @@
     size: int
     random_source: random.Random
     late_share: float = 0
+    name: str = 'g'
     epoch: int = 1
+    open: bool = True
     step: int = 0
+    orders: int = 0
     mixed_steps: list[int] = field(default_factory=list)
     unresponsive: set[int] = field(default_factory=set)
     ranks: list[FakeRank] = field(default_factory=list)
@@ -75,11 +82,11 @@
         state = self.ranks[rank]
         armed, armed_step, _placement = state.armed or (0, 0, ())
         return RankReport(
-            group='g',
+            group=self.name,
             epoch=self.epoch,
             rank=rank,
             size=self.size,
-            open=True,
+            open=self.open,
             step=self.step,
             version=state.version,
             prepared_version=state.prepared_version,
@@ -89,6 +96,7 @@
         )
 
     async def send_order(self, rank: int, order: MapOrder) -> OrderResult:
+        self.orders += 1
         await trio.sleep(0.002)
         if rank in self.unresponsive:
             await trio.sleep(ORDER_TIMEOUT_S)
@@ -171,3 +179,30 @@
         if rank.held_step == order.step:
             rank.held_step = 0
         return OrderResult.DONE
+
+
+class FakePort:
+    """Reach one rank of the group, whose calls select experts 0 and 4 most."""
+
+    def __init__(self, group: FakeGroup, rank: int) -> None:
+        self._group = group
+        self._rank = rank
+
+    async def fetch_report(self) -> RankReport | None:
+        return await self._group.fetch_report(self._rank)
+
+    async def send_order(self, order: MapOrder) -> OrderResult:
+        return await self._group.send_order(self._rank, order)
+
+    async def fetch_counts(self) -> RankCounts | None:
+        rates = [1000 if expert in {0, 4} else 50 for expert in range(EXPERTS)]
+        steps = self._group.step
+        selections = tuple(steps * rate for rate in rates)
+        return RankCounts(self._group.epoch, steps, selections)
+
+    async def fetch_experts(self) -> RankExperts | None:
+        rank = self._group.ranks[self._rank]
+        experts = tuple(range(self._rank, EXPERTS, self._group.size))
+        if rank.placement:
+            experts = rank.placement[0][self._rank]
+        return RankExperts(self._group.epoch, rank.version, (experts,))
--- a/tests/platformbuild.py
+++ b/tests/platformbuild.py
@@ -27,12 +27,23 @@
 """
 
 
-def configuration(version: int = 1, **changes: Any) -> bytes:
-    """Return a configuration record with a route for each kind of call."""
+def configuration(
+    version: int = 1, gap_ms: float | None = None, **changes: Any
+) -> bytes:
+    """Return a configuration record with a route for each kind of call.
+
+    ``gap_ms`` is the target gap of the route with streams.
+    """
     fields: dict[str, Any] = {
         'version': version,
         'routes': [
-            route('stream', 'streaming', 'engine', stream_resume=True),
+            route(
+                'stream',
+                'streaming',
+                'engine',
+                stream_resume=True,
+                target_gap_ms=gap_ms,
+            ),
             route('read', 'idempotent', 'plain', max_attempts=2),
             route('book', 'non_idempotent', 'plain'),
         ],
@@ -51,6 +62,20 @@
     return json.dumps({**fields, **changes}).encode()
 
 
+def engine_fields(**changes: Any) -> dict[str, Any]:
+    """Return the engine of a service with one layer set of experts."""
+    fields: dict[str, Any] = {
+        'sets': 1,
+        'experts': 8,
+        'placements': 3,
+        'spare': 2,
+        'expert_mb': 1,
+        'link_mbps': 800,
+        'stride': 5,
+    }
+    return {**fields, **changes}
+
+
 def route(name: str, kind: str, service: str, **changes: Any) -> dict[str, Any]:
     fields: dict[str, Any] = {
         'name': name,
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -11,52 +11,17 @@
 from amaranthrail.clock import Clock
 from amaranthrail.direct.deployment import ExpertLayout
 from amaranthrail.ranks.leader import BACKOFF_MS, Leader
-from amaranthrail.ranks.ports import (
-    MapOrder,
-    OrderKind,
-    OrderResult,
-    RankCounts,
-    RankExperts,
-    RankReport,
-)
-
-from .lockstep import STEP_S, FakeGroup
+from amaranthrail.ranks.ports import MapOrder, OrderKind
+
+from .lockstep import EXPERTS, STEP_S, FakeGroup, FakePort
 from .rankbench import seed_scheduler
 
 RANKS = 4
-EXPERTS = 8
 LAYOUT = ExpertLayout(1, EXPERTS, placements=3, spare=2, copy_ms=10)
 #: Target gap between events, of which a step of the group takes five sixths.
 GAP_MS = 1.2 * STEP_S * 1000
 
 
-class FakePort:
-    """Reach one rank of the group, whose calls select experts 0 and 4 most."""
-
-    def __init__(self, group: FakeGroup, rank: int) -> None:
-        self._group = group
-        self._rank = rank
-
-    async def fetch_report(self) -> RankReport | None:
-        return await self._group.fetch_report(self._rank)
-
-    async def send_order(self, order: MapOrder) -> OrderResult:
-        return await self._group.send_order(self._rank, order)
-
-    async def fetch_counts(self) -> RankCounts | None:
-        rates = [1000 if expert in {0, 4} else 50 for expert in range(EXPERTS)]
-        steps = self._group.step
-        selections = tuple(steps * rate for rate in rates)
-        return RankCounts(self._group.epoch, steps, selections)
-
-    async def fetch_experts(self) -> RankExperts | None:
-        rank = self._group.ranks[self._rank]
-        experts = tuple(range(self._rank, EXPERTS, RANKS))
-        if rank.placement:
-            experts = rank.placement[0][self._rank]
-        return RankExperts(self._group.epoch, rank.version, (experts,))
-
-
 def run_scenario(
     scenario: Callable[[FakeGroup, Leader], Awaitable[None]],
 ) -> FakeGroup:
