Bound responses without end

Change: a body that is read whole is bounded by its bytes on the wire (3 MiB: a page of the store is 1.4 MB in Base64), an event stream by 64 MiB, and at most 16 interim responses are skipped. Chunk headers, extensions and trailers count; a head, one extension and one event had bounds already. Ruled out: a bound on every exchange; the sidecar passes bodies on in parts and gathers none.

--- a/src/amaranthrail/adapters/httpclient.py
+++ b/src/amaranthrail/adapters/httpclient.py
@@ -24,11 +24,16 @@
 import trio
 
 from ..clock import MS_PER_SECOND, Clock
-from ..exceptions import HttpError
+from ..exceptions import HttpError, ResponseTooLargeError
 from ..types import HeaderList
 
 #: Time for opening a connection, TLS handshake included.
 CONNECT_TIMEOUT_MS = 2000.0
+#: Longest response that is read whole, in bytes on the wire. A page of the
+#: platform's store has 1 MB of records, a third more in Base64.
+MAX_RESPONSE_BYTES = 3_145_728
+#: Most informational (1xx) responses before the final one.
+MAX_INTERIM_RESPONSES = 16
 #: Most bytes taken from a stream by one read.
 _READ_BYTES = 65_536
 #: Most idle connections that one client keeps.
@@ -100,6 +105,8 @@
         """Read from the connection that the request is sent on."""
         self._parser = parser
         self._stream = stream
+        self._max_bytes: int | None = None
+        self._received_bytes = 0
         self._status = 0
         self._headers: HeaderList = ()
 
@@ -116,10 +123,17 @@
     async def read_head(self) -> None:
         """Wait for the head of the final response, skipping 1xx responses.
 
-        Raises HttpError where the response ends or fails before.
+        Raises HttpError where the response ends or fails before, or where 1xx
+        responses exceed their limit.
         """
         head = await self._next_event()
+        interim_count = 0
         while isinstance(head, h11.InformationalResponse):
+            interim_count += 1
+            if interim_count > MAX_INTERIM_RESPONSES:
+                raise ResponseTooLargeError(
+                    f'{MAX_INTERIM_RESPONSES} interim responses'
+                )
             head = await self._next_event()
         if not isinstance(head, h11.Response):
             raise HttpError('no answer before the end', sent=True)
@@ -129,8 +143,25 @@
             for name, field_value in head.headers
         )
 
-    async def body_chunks(self) -> AsyncGenerator[bytes, None]:
-        """Yield the body as it arrives. Raises HttpError where it is cut."""
+    async def read_body(self) -> bytes:
+        """Return the whole body.
+
+        Raises HttpError where it is cut or exceeds MAX_RESPONSE_BYTES.
+        """
+        async with aclosing(self.body_chunks(MAX_RESPONSE_BYTES)) as parts:
+            chunks = [part async for part in parts]
+        return b''.join(chunks)
+
+    async def body_chunks(
+        self, max_bytes: int | None = None
+    ) -> AsyncGenerator[bytes, None]:
+        """Yield the body as it arrives.
+
+        ``max_bytes`` bounds the response as it is on the wire, with chunk
+        headers and trailers; by default there is no bound, as nothing is
+        gathered here. Raises HttpError where the body is cut or too long.
+        """
+        self._max_bytes = max_bytes
         while True:
             event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
@@ -145,10 +176,17 @@
                 if event is not h11.NEED_DATA:
                     return event
                 received = await self._stream.receive_some(_READ_BYTES)
+                self._count_received(len(received))
                 self._parser.receive_data(bytes(received))
             except _CONNECTION_ERRORS as error:
                 raise HttpError(f'answer cut: {error}', sent=True) from error
 
+    def _count_received(self, received_bytes: int) -> None:
+        self._received_bytes += received_bytes
+        if self._max_bytes is None or self._received_bytes <= self._max_bytes:
+            return
+        raise ResponseTooLargeError(f'{self._max_bytes} bytes')
+
 
 class _IdleConnection(msgspec.Struct, frozen=True):
     parser: h11.Connection
@@ -232,9 +270,10 @@
         *,
         new_connection: bool = False,
     ) -> HttpResponse:
-        """Send a request and return the complete response. Raises HttpError.
+        """Send a request and return the complete response.
 
-        ``new_connection`` is as for ``exchange``.
+        ``new_connection`` is as for ``exchange``. Raises HttpError, also for a
+        response that exceeds MAX_RESPONSE_BYTES.
         """
         async with self.exchange(
             method,
@@ -243,13 +282,8 @@
             body,
             new_connection=new_connection,
         ) as exchange:
-            async with aclosing(exchange.body_chunks()) as body_chunks:
-                chunks = [chunk async for chunk in body_chunks]
-            return HttpResponse(
-                exchange.status,
-                exchange.headers,
-                b''.join(chunks),
-            )
+            body_bytes = await exchange.read_body()
+            return HttpResponse(exchange.status, exchange.headers, body_bytes)
 
     def _pop_idle(self) -> tuple[h11.Connection, trio.abc.Stream] | None:
         """Return the idle connection used last that can still be reused."""
--- a/src/amaranthrail/direct/attempt.py
+++ b/src/amaranthrail/direct/attempt.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-from contextlib import aclosing
-
 from ..adapters.httpclient import HttpExchange
 from ..clock import Clock
-from ..exceptions import HttpError
+from ..exceptions import HttpError, ResponseTooLargeError
 from ..types import Millis
 from .call import BufferedResponse, Call, Failure
 from .ports import ForwardingFields, ResponseMetadata, WireFormat
@@ -67,6 +65,9 @@
                 return await self._read_response(
                     call, upstream, relay, exchange
                 )
+        except ResponseTooLargeError as error:
+            upstream.health.record_unreachable(self._clock.now())
+            return Failure(str(error), may_have_run=True, delivered=True)
         except HttpError as error:
             if not error.pooled or not error.sent:
                 upstream.health.record_unreachable(self._clock.now())
@@ -111,13 +112,12 @@
             )
             self._record_result(upstream, failed=failure is not None)
             return failure
-        async with aclosing(exchange.body_chunks()) as parts:
-            chunks = [part async for part in parts]
+        body = await exchange.read_body()
         self._record_result(
             upstream,
             failed=exchange.status >= _FIRST_SERVER_ERROR,
         )
-        return BufferedResponse(exchange.status, headers, b''.join(chunks))
+        return BufferedResponse(exchange.status, headers, body)
 
     def _record_result(self, upstream: Upstream, *, failed: bool) -> None:
         if failed:
--- a/src/amaranthrail/direct/relay.py
+++ b/src/amaranthrail/direct/relay.py
@@ -14,6 +14,8 @@
 from .steptimes import StepTimes
 from .streams import EventSplitter
 
+#: Longest event stream in bytes on the wire; each event is passed on at once.
+MAX_STREAM_BYTES = 67_108_864
 #: Makes a context manager for one wait for an upstream. It may cancel the wait
 #: and suppresses the cancellation.
 StallGuardFactory = Callable[[], AbstractContextManager[None]]
@@ -76,7 +78,9 @@
         ``record_activity`` is called for each part that arrives.
         """
         try:
-            async with aclosing(exchange.body_chunks()) as parts:
+            async with aclosing(
+                exchange.body_chunks(MAX_STREAM_BYTES)
+            ) as parts:
                 part = await self._next_part(parts)
                 while part is not None:
                     record_activity()
--- a/src/amaranthrail/exceptions.py
+++ b/src/amaranthrail/exceptions.py
@@ -41,5 +41,13 @@
         self.pooled = False
 
 
+class ResponseTooLargeError(HttpError):
+    """Signal a response that exceeds its limit; its connection is closed."""
+
+    def __init__(self, limit: str) -> None:
+        """Name the limit that the response exceeds."""
+        super().__init__(f'response exceeds the limit of {limit}', sent=True)
+
+
 class LogUnavailableError(AmaranthrailError):
     """Signal that the log did not respond; a record may have been appended."""
--- a/src/amaranthrail/policy/outliers.py
+++ b/src/amaranthrail/policy/outliers.py
@@ -51,7 +51,10 @@
             self._eject(now)
 
     def record_unreachable(self, now: float) -> None:
-        """Eject after a connection that could not be made or was broken."""
+        """Eject after a connection that could not be made or was broken.
+
+        A response without end counts as a broken connection.
+        """
         self._eject(now)
 
     def _eject(self, now: float) -> None:
