--- a/src/amaranthrail/policy/expertplan.py
+++ b/src/amaranthrail/policy/expertplan.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import random
-from collections import Counter
 from collections.abc import Iterator, Sequence
 
 import msgspec
@@ -38,11 +37,12 @@
     spare: int
 
 
-class _Change(msgspec.Struct, frozen=True):
-    """Hold what one change adds and removes, as pairs of rank and expert."""
-
-    added: tuple[tuple[int, int], ...]
-    removed: tuple[tuple[int, int], ...] = ()
+#: What a change adds or removes, as pairs of rank and expert.
+_Replicas = tuple[tuple[int, int], ...]
+#: The replicas that one change adds and those that it removes.
+_Change = tuple[_Replicas, _Replicas]
+#: A change and its gain for each replica that it adds.
+_RatedChange = tuple[float, _Change]
 
 
 def default_placement(experts: int, ranks: int) -> LayerSetPlacement:
@@ -74,12 +74,15 @@
     for _ in range(limits.spare * len(placement)):
         if state.skew <= TARGET_SKEW:
             break
-        changes = list(_candidate_changes(state, placement, limits, rng))
-        gains = [state.gain_per_replica(change) for change in changes]
-        best_gain = max(gains, default=0.0)
-        if best_gain <= MIN_RELATIVE_GAIN * state.sum_of_squares:
+        best_gain = MIN_RELATIVE_GAIN * state.sum_of_squares
+        best_change: _Change | None = None
+        for gain, change in _candidate_changes(state, placement, limits, rng):
+            if gain > best_gain:
+                best_gain = gain
+                best_change = change
+        if best_change is None:
             break
-        state.apply(changes[gains.index(best_gain)])
+        state.apply(best_change)
     return state.placement()
 
 
@@ -127,42 +130,77 @@
     def placement(self) -> LayerSetPlacement:
         return tuple(tuple(sorted(experts)) for experts in self.experts_of)
 
-    def gain(self, change: _Change) -> float:
-        """Return by how much a change lowers the sum of squared loads."""
-        differences = self._load_differences(change)
-        return -sum(
-            difference * (2 * self.loads[rank] + difference)
-            for rank, difference in differences.items()
+    def shift_gain(self, source: int, target: int, load: float) -> float:
+        """Return the gain of moving a load from one rank to another.
+
+        A gain is what a change takes off the sum of squared loads.
+        """
+        return 2 * load * (self.loads[source] - self.loads[target] - load)
+
+    def uneven_shift_gain(
+        self, pair: tuple[int, int], expert: int, freed: float
+    ) -> float:
+        """Return the gain of moving an expert to a rank that frees a load."""
+        source, target = pair
+        load = self.replica_load(expert)
+        raised = load - freed
+        relief = load * (2 * self.loads[source] - load)
+        return relief - raised * (2 * self.loads[target] + raised)
+
+    def addition_gain(self, expert: int, target: int, freed: float) -> float:
+        """Return the gain of one more replica of an expert on a target rank.
+
+        ``freed`` is the load that the target rank gives up for it.
+        """
+        holders = self.ranks_of[expert]
+        count = len(holders)
+        load = self.weights[expert] / (count + 1)
+        relief = self.weights[expert] / count - load
+        relieved = sum([self.loads[rank] for rank in holders])
+        difference = load - freed
+        return relief * (2 * relieved - count * relief) - difference * (
+            2 * self.loads[target] + difference
         )
 
-    def gain_per_replica(self, change: _Change) -> float:
-        """Return a change's gain per expert replica that it adds."""
-        return self.gain(change) / max(1, len(change.added))
+    def removal_gain(self, expert: int, rank: int) -> float:
+        """Return the gain, usually below 0, for the ranks that keep a replica.
+
+        The load that the removal takes off ``rank`` is not part of it.
+        """
+        keepers = self.ranks_of[expert] - {rank}
+        extra = self.replica_load(expert) / len(keepers)
+        kept = sum([self.loads[keeper] for keeper in keepers])
+        return -extra * (2 * kept + len(keepers) * extra)
 
     def apply(self, change: _Change) -> None:
         for rank, difference in self._load_differences(change).items():
             self.loads[rank] += difference
-        for rank, expert in change.removed:
+        added, removed = change
+        for rank, expert in removed:
             self.experts_of[rank].discard(expert)
             self.ranks_of[expert].discard(rank)
-        for rank, expert in change.added:
+        for rank, expert in added:
             self.experts_of[rank].add(expert)
             self.ranks_of[expert].add(rank)
 
-    def _load_differences(self, change: _Change) -> Counter[int]:
+    def _load_differences(self, change: _Change) -> dict[int, float]:
         """Return by how much a change raises the load of each rank."""
-        differences: Counter[int] = Counter()
-        changed = {expert for _, expert in (*change.added, *change.removed)}
+        added, removed = change
+        differences: dict[int, float] = {}
+        changed = dict.fromkeys(expert for _, expert in added + removed)
         for expert in changed:
-            added = {rank for rank, each in change.added if each == expert}
-            removed = {rank for rank, each in change.removed if each == expert}
             before = self.ranks_of[expert]
-            after = (before | added) - removed
-            load = self.weights[expert] / len(after)
-            differences.update(dict.fromkeys(after, load))
-            differences.subtract(
-                dict.fromkeys(before, self.replica_load(expert))
+            after = set(before)
+            after.difference_update(
+                rank for rank, each in removed if each == expert
             )
+            after.update(rank for rank, each in added if each == expert)
+            load_before = self.weights[expert] / len(before)
+            load_after = self.weights[expert] / len(after)
+            for rank in before:
+                differences[rank] = differences.get(rank, 0) - load_before
+            for rank in after:
+                differences[rank] = differences.get(rank, 0) + load_after
         return differences
 
 
@@ -171,8 +209,11 @@
     current: LayerSetPlacement,
     limits: PlanLimits,
     rng: random.Random,
-) -> Iterator[_Change]:
-    """Yield changes that could reduce the load of the most loaded rank."""
+) -> Iterator[_RatedChange]:
+    """Yield changes that could reduce the load of the most loaded rank.
+
+    Each comes with its gain for each replica that it adds.
+    """
     ranks = sorted(range(len(state.loads)), key=state.loads.__getitem__)
     most_loaded = ranks[-1]
     by_load = sorted(
@@ -184,52 +225,96 @@
                 continue
             if not _can_add(state, current, limits, target, expert):
                 continue
-            yield from _additions(state, limits, most_loaded, target, expert)
-            yield from _swaps(
-                state, current, limits, (most_loaded, target), expert
-            )
+            pair = most_loaded, target
+            yield from _additions(state, limits, pair, expert)
+            yield from _best_swap(state, current, limits, pair, expert)
     replicated = state.replicated_experts(most_loaded)
     if replicated:
-        yield _Change((), ((most_loaded, rng.choice(replicated)),))
+        yield _removal(state, most_loaded, rng.choice(replicated))
+
+
+def _removal(state: _PlanState, rank: int, expert: int) -> _RatedChange:
+    load = state.replica_load(expert)
+    relief = load * (2 * state.loads[rank] - load)
+    gain = state.removal_gain(expert, rank) + relief
+    return gain, ((), ((rank, expert),))
 
 
 def _additions(
     state: _PlanState,
     limits: PlanLimits,
-    most_loaded: int,
-    target: int,
+    pair: tuple[int, int],
     expert: int,
-) -> Iterator[_Change]:
-    """Yield the replication and the move of an expert to a target rank."""
+) -> Iterator[_RatedChange]:
+    """Yield the replication and the move of an expert to a target rank.
+
+    ``pair`` is the most loaded rank and the target rank.
+    """
+    most_loaded, target = pair
     addition = (target, expert)
+    moved = (most_loaded, expert)
+    load = state.replica_load(expert)
     if len(state.experts_of[target]) < limits.placements:
-        yield _Change((addition,))
-        yield _Change((addition,), ((most_loaded, expert),))
-        return
-    # The rank is full: an expert that other ranks hold too is removed from it.
-    replicated = state.replicated_experts(target)
-    if replicated:
-        least = min(replicated, key=state.replica_load)
-        yield _Change((addition,), ((target, least),))
-        yield _Change((addition,), ((target, least), (most_loaded, expert)))
+        yield state.addition_gain(expert, target, 0), ((addition,), ())
+        move_gain = state.shift_gain(most_loaded, target, load)
+        yield move_gain, ((addition,), (moved,))
+    else:
+        yield from _replacements(state, pair, expert)
 
 
-def _swaps(
+def _replacements(
+    state: _PlanState, pair: tuple[int, int], expert: int
+) -> Iterator[_RatedChange]:
+    """Yield the same for a full target rank, which drops a replica for it.
+
+    Only an expert that other ranks hold too can be dropped.
+    """
+    most_loaded, target = pair
+    replicated = state.replicated_experts(target)
+    if not replicated:
+        return
+    least = min(replicated, key=state.replica_load)
+    added = ((target, expert),)
+    dropped = (target, least)
+    freed = state.replica_load(least)
+    lost_gain = state.removal_gain(least, target)
+    addition_gain = state.addition_gain(expert, target, freed)
+    yield addition_gain + lost_gain, (added, (dropped,))
+    move_gain = state.uneven_shift_gain(pair, expert, freed)
+    yield move_gain + lost_gain, (added, (dropped, (most_loaded, expert)))
+
+
+def _best_swap(
     state: _PlanState,
     current: LayerSetPlacement,
     limits: PlanLimits,
     pair: tuple[int, int],
     expert: int,
-) -> Iterator[_Change]:
-    """Yield the swaps of an expert for one of less load of a target rank."""
+) -> Iterator[_RatedChange]:
+    """Yield the swap of an expert for one of a target rank that gains most.
+
+    That is the one that brings the two ranks' loads closest to each other.
+    """
     most_loaded, target = pair
-    for other in state.experts_of[target] - state.experts_of[most_loaded]:
-        is_lighter = state.replica_load(other) < state.replica_load(expert)
-        if is_lighter and _can_add(state, current, limits, most_loaded, other):
-            yield _Change(
-                ((target, expert), (most_loaded, other)),
-                ((most_loaded, expert), (target, other)),
+    ideal = (state.loads[most_loaded] - state.loads[target]) / 2
+    load = state.replica_load(expert)
+    others = [
+        (abs(load - state.replica_load(other) - ideal), other)
+        for other in state.experts_of[target] - state.experts_of[most_loaded]
+        if state.replica_load(other) < load
+    ]
+    for _, other in sorted(others):
+        if _can_add(state, current, limits, most_loaded, other):
+            shifted = load - state.replica_load(other)
+            # A swap adds two replicas.
+            yield (
+                state.shift_gain(most_loaded, target, shifted) / 2,
+                (
+                    ((target, expert), (most_loaded, other)),
+                    ((most_loaded, expert), (target, other)),
+                ),
             )
+            return
 
 
 def _can_add(
--- a/src/amaranthrail/policy/rebalancing.py
+++ b/src/amaranthrail/policy/rebalancing.py
@@ -18,8 +18,8 @@
 #: as both are billed.
 MODERATE_LOAD_SHARE = 0.5
 #: Time between two readings of counts at a high and at a moderate load, in ms.
-#: Each reading but the first is of one rank, and a shift of demand shows in the
-#: next reading.
+#: A reading is of two ranks at a high load and of one in turn at a moderate
+#: load, and a shift of demand shows in the next one.
 HIGH_LOAD_INTERVAL_MS = 200.0
 MODERATE_LOAD_INTERVAL_MS = 800.0
 #: Least fraction of the most loaded rank's time that a change must save, at a
@@ -27,18 +27,19 @@
 #: peaks.
 HIGH_LOAD_MIN_SAVING = 0.2
 MODERATE_LOAD_MIN_SAVING = 0.55
-#: Most counts in one reading of a rank, experts times layer sets. A group
-#: pauses half a ms for each 400 counts, and a map of that many experts is
-#: outdated by the time it is in use.
-MAX_COUNTS = 1024
+#: Most numbers that one change may send: every rank gets the whole map, the
+#: experts of each rank in each layer set. So many take an entry's link about a
+#: tenth of a second; a demand lasts two to three.
+MAX_MAP_NUMBERS = 100_000
 
 
-def can_rebalance(sets: int, experts: int) -> bool:
+def can_rebalance(sets: int, placements: int, ranks: int) -> bool:
     """Tell whether a map of this size can be changed as fast as demand shifts.
 
-    ``experts`` is the number of experts in each of the layer sets.
+    ``placements`` is the most experts that each of the ``ranks`` holds in one
+    of the layer sets.
     """
-    return sets * experts <= MAX_COUNTS
+    return sets * placements * ranks * ranks <= MAX_MAP_NUMBERS
 
 
 def has_moderate_load(step_ms: float, target_gap_ms: float) -> bool:
--- a/src/amaranthrail/ranks/controller.py
+++ b/src/amaranthrail/ranks/controller.py
@@ -10,9 +10,8 @@
 from ..clock import Clock, sleep
 from ..direct.clusterstate import ClusterState
 from ..direct.deployment import Deployment, ExpertLayout, Service
-from ..direct.upstreams import Upstream
+from ..direct.upstreams import Upstream, silent_ms_by_group
 from ..logs import part_logger
-from ..policy.rebalancing import can_rebalance
 from ..types import GroupName, ServiceName
 from .groups import GroupDirectory, GroupKey, RankPorts
 from .leader import Leader
@@ -101,8 +100,7 @@
     ) -> None:
         for service in deployment.services.values():
             layout = service.layout
-            # Reports are billed, and of no use where maps cannot be changed.
-            if layout is None or not can_rebalance(layout.sets, layout.experts):
+            if layout is None:
                 continue
             make_leader = partial(_make_leader, deployment, service, layout)
             await self._update_service(nursery, service, make_leader)
@@ -131,6 +129,9 @@
             if group is None:
                 group = _ControlledGroup(make_leader(self._clock))
                 self._groups[key] = group
+            # Reports are billed, and of no use where maps cannot be changed.
+            if not group.leader.can_rebalance(len(ranks)):
+                continue
             if not group.cycle_lock.locked():
                 group.replace_ranks(ranks)
                 nursery.start_soon(update, key, group)
@@ -158,15 +159,10 @@
         now = self._clock.now()
         if now - self._stall_found_at < STALL_INTERVAL_MS:
             return set()
-        silent_ms: dict[GroupName | None, float] = {}
-        for upstream in upstreams:
-            if upstream.in_flight:
-                least_ms = silent_ms.get(upstream.group, upstream.silent_ms)
-                silent_ms[upstream.group] = min(least_ms, upstream.silent_ms)
         stalled = {
-            name
-            for name, least_ms in silent_ms.items()
-            if least_ms >= STREAM_STALL_MS
+            group
+            for group, silent_ms in silent_ms_by_group(upstreams).items()
+            if silent_ms >= STREAM_STALL_MS
         }
         if stalled:
             self._stall_found_at = now
--- a/src/amaranthrail/ranks/leader.py
+++ b/src/amaranthrail/ranks/leader.py
@@ -19,6 +19,8 @@
     plan_layer_set,
 )
 from ..policy.rebalancing import (
+    can_rebalance,
+    has_high_load,
     has_moderate_load,
     should_change_map,
     should_read_counts,
@@ -105,6 +107,11 @@
         """Tell whether another leader's recent change prevents any here."""
         return self._clock.now() < self._back_off_until
 
+    def can_rebalance(self, ranks: int) -> bool:
+        """Tell whether the map of a group of this size can be changed."""
+        layout = self._layout
+        return can_rebalance(layout.sets, layout.placements, ranks)
+
     def replace_ranks(self, ranks: Mapping[int, RankPort]) -> None:
         """Replace the ranks of the group and choose the one to hold steps."""
         self._ranks = ranks
@@ -184,15 +191,19 @@
             return
         group.sampled_at = now
         self._demand.decay(now)
-        ranks = [self._next_sampled_rank()]
-        if sampled_at is None:
-            # Demand is the growth of a rank's counts between two samples, so
-            # each sampled rank needs a first one.
-            ranks = self._sampled_ranks()
-        for rank in ranks:
-            counts = await self._ranks[rank].fetch_counts()
-            if counts is not None:
-                self._demand.update_counts(rank, counts.selections)
+        ranks = self._sampled_ranks()
+        # Demand is the growth of a rank's counts between two samples, so each
+        # sampled rank needs a first one.
+        if sampled_at is not None and not has_high_load(
+            group.step_ms, self._target_gap_ms
+        ):
+            ranks = [self._next_sampled_rank()]
+        samples = await query_ranks(
+            ranks,
+            lambda rank: self._ranks[rank].fetch_counts(),
+        )
+        for rank, counts in sorted(samples.items()):
+            self._demand.update_counts(rank, counts.selections)
 
     def _next_sampled_rank(self) -> int:
         """Return the rank to sample next, in round-robin order."""
