Place and admit streams by group, and not all at one upstream

(2) Admission looked at the least loaded of 64 engines, which has a free slot even when the group is overloaded. (3) Callers refused once went first when they returned, late in any case, so the overload of a burst went on for 15 s and more. Change: an entry compares a random few (upstreams over entries, at least three), free ones first; step time, stall and admission are those of the group, known to all entries from the leader's load reports; a silent group is avoided while another serves; first requests are admitted up to a mean load of 1.0, retries up to 0.9, less for each lower priority, and resumed streams as before.

--- a/bench/enginemodel.py
+++ b/bench/enginemodel.py
@@ -17,10 +17,10 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from amaranthrail.policy.rankgroups import GroupLoad, make_group_load
 from amaranthrail.policy.retryafter import choose_peak_retry_after_ms
 from amaranthrail.policy.selection import UpstreamView, select_upstream
 from amaranthrail.policy.streamadmission import (
-    EngineLoad,
     StreamRequest,
     should_admit_stream,
 )
@@ -112,10 +112,10 @@
         return len(self.running) + len(self.waiting)
 
 
-Begin = Callable[[StreamRequest, EngineLoad], bool]
+Begin = Callable[[StreamRequest, GroupLoad], bool]
 
 
-def begin_all(_wish: StreamRequest, _crest: EngineLoad) -> bool:
+def begin_all(_wish: StreamRequest, _crest: GroupLoad) -> bool:
     """Let every stream begin at once: what is compared with."""
     return True
 
@@ -191,7 +191,12 @@
         ]
         chosen = select_upstream(views, self._random)
         crest = self._crest(views)
-        wish = StreamRequest(left_ms, self._demand.deadline_ms, stream.hint)
+        wish = StreamRequest(
+            left_ms,
+            self._demand.deadline_ms,
+            self._demand.pause_ms,
+            steps=stream.hint,
+        )
         if chosen is not None and self._begin(wish, crest):
             number = int(chosen.name)
             self._seen[number] += 1
@@ -206,9 +211,8 @@
                 stream,
             )
 
-    def _crest(self, views: list[UpstreamView]) -> EngineLoad:
-        least_load = min(view.load_per_slot for view in views)
-        return EngineLoad(least_load, self._pass_ms)
+    def _crest(self, views: list[UpstreamView]) -> GroupLoad:
+        return make_group_load(views, self._pass_ms, 0)
 
     def _pass_time(self, now: float) -> float:
         """Return how long the next pass takes; streams begin with it."""
--- a/src/amaranthrail/direct/call.py
+++ b/src/amaranthrail/direct/call.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ..adapters.httpserver import HttpRequest
-from ..policy.streamadmission import EngineLoad
+from ..policy.rankgroups import GroupLoad
 from ..types import HeaderList, Millis, OrganisationName, ServiceName
 from .deployment import Route
 from .ports import RequestMetadata
@@ -36,9 +36,9 @@
     ``delivered_attempts`` counts the upstreams that received the request,
     ``undelivered_attempts`` those that could not be reached or were not the
     upstream addressed. ``may_have_run`` says whether any upstream may have
-    executed the request, ``engine_load`` is what the admission of a stream was
-    based on, and ``retry_reserved`` says that the next retry has already been
-    taken from the retry budget.
+    executed the request, ``engine_load`` is the load of the group that decided
+    the admission of a stream, and ``retry_reserved`` says that the next retry
+    has already been taken from the retry budget.
     """
 
     request: HttpRequest
@@ -54,7 +54,7 @@
     undelivered_attempts: int = 0
     may_have_run: bool = False
     choices: list[UpstreamChoice] = msgspec.field(default_factory=list)
-    engine_load: EngineLoad | None = None
+    engine_load: GroupLoad | None = None
     retry_reserved: bool = False
 
     @property
--- a/src/amaranthrail/direct/calllog.py
+++ b/src/amaranthrail/direct/calllog.py
@@ -164,7 +164,10 @@
     if load is None:
         return None
     step_text = 'unknown' if load.step_ms is None else f'{load.step_ms:.0f}'
-    return f'least load {load.least_load:.2f}, pass ms {step_text}'
+    return (
+        f'least load {load.least_load:.2f}, mean load {load.mean_load:.2f}, '
+        f'pass ms {step_text}'
+    )
 
 
 def _call_fields(call: Call) -> dict[str, object]:
--- a/src/amaranthrail/direct/forward.py
+++ b/src/amaranthrail/direct/forward.py
@@ -13,16 +13,17 @@
 from ..adapters.problem import send_refusal
 from ..clock import Clock, move_on_after
 from ..outcomes import Reason, Refusal, not_run, unknown_outcome
+from ..policy.rankgroups import (
+    make_group_load,
+    serving_groups,
+    split_by_group,
+)
 from ..policy.retryafter import (
     choose_peak_retry_after_ms,
     choose_retry_after_ms,
 )
 from ..policy.selection import UpstreamView, select_upstream
-from ..policy.streamadmission import (
-    EngineLoad,
-    StreamRequest,
-    should_admit_stream,
-)
+from ..policy.streamadmission import StreamRequest, should_admit_stream
 from ..types import DomainName, HeaderList
 from .attempt import AttemptSender
 from .call import BufferedResponse, Call, Failure, StreamTiming, UpstreamChoice
@@ -32,7 +33,7 @@
 from .relay import StreamRelay
 from .retrybudgets import RetryBudgets
 from .stalls import StallDetector
-from .upstreams import Upstream
+from .upstreams import Upstream, silent_ms_by_group
 
 _FIRST_SERVER_ERROR = 500
 #: Time after a call's deadline at which the entry refuses it, in ms, so that a
@@ -85,16 +86,14 @@
     async def forward(self, call: Call, reply: ResponseWriter) -> None:
         """Send a call's response or, by its deadline, a refusal."""
         self._retry_budgets.record_call(call.service)
-        step_times = self._cluster.directory.step_times(call.service)
         relay = StreamRelay(
             reply,
             call.metadata.last_event_id,
             StreamTiming(call.arrived_at),
-            step_times,
+            self._cluster.directory.step_times(call.service, None),
             partial(
                 self._stalls.guard,
-                step_times,
-                partial(self._reserve_switch, call),
+                reserve_switch=partial(self._reserve_switch, call),
             ),
         )
         outcome: BufferedResponse | Refusal | None = None
@@ -126,6 +125,9 @@
             upstream = self._choose_upstream(call)
             if upstream is None:
                 return self._final_result(call, failed)
+            relay.follow_group(
+                self._cluster.directory.step_times(call.service, upstream.group)
+            )
             ran_before = call.may_have_run
             # The deadline may end the attempt before its result is known.
             call.may_have_run = True
@@ -147,9 +149,8 @@
             upstream.view(self._domain, reported[upstream.record.name])
             for upstream in ready
         ]
-        if not call.choices and not self._should_admit(call, views):
-            return None
-        view = select_upstream(views, self._random)
+        admitted = self._admit(call, ready, views)
+        view = select_upstream(admitted, self._random, self._loads.entries)
         chosen = None if view is None else directory.find(view.name)
         if view is None or chosen is None:
             return None
@@ -164,26 +165,49 @@
         )
         return chosen
 
-    def _should_admit(self, call: Call, views: list[UpstreamView]) -> bool:
-        """Tell whether the engines have capacity for a call.
+    def _admit(
+        self, call: Call, ready: list[Upstream], views: list[UpstreamView]
+    ) -> list[UpstreamView]:
+        """Return the upstreams of the groups that may take a call.
 
-        Only streams of services with engines are subject to admission.
+        Only streams of services with engines are subject to admission, each
+        of them once; a retry only avoids groups that do not serve.
         """
         service = self._cluster.service(call.service)
         engine = None if service is None else service.engine
         if not views or engine is None or not call.route.streaming:
-            return True
-        call.engine_load = EngineLoad(
-            min(view.load_per_slot for view in views),
-            self._cluster.directory.step_times(call.service).step_ms,
+            return views
+        by_group = split_by_group(views)
+        silent_ms = silent_ms_by_group(ready)
+        step_times = partial(self._cluster.directory.step_times, call.service)
+        loads = serving_groups(
+            {
+                group: make_group_load(
+                    members,
+                    step_times(group).step_ms,
+                    silent_ms.get(group, 0),
+                )
+                for group, members in by_group.items()
+            }
         )
-        stream = StreamRequest(
-            remaining_ms=call.deadline - self._clock.now(),
-            route_timeout_ms=call.route.timeout_ms,
-            steps=call.metadata.expected_tokens / engine.tokens_per_step,
-            is_resumed=call.metadata.last_event_id is not None,
-        )
-        return should_admit_stream(stream, call.engine_load)
+        if not call.choices:
+            call.engine_load = min(
+                loads.values(), key=lambda load: load.mean_load
+            )
+            stream = StreamRequest(
+                remaining_ms=call.deadline - self._clock.now(),
+                route_timeout_ms=call.route.timeout_ms,
+                target_gap_ms=call.route.target_gap_ms,
+                priority=call.priority,
+                steps=call.metadata.expected_tokens / engine.tokens_per_step,
+                is_resumed=call.metadata.last_event_id is not None,
+            )
+            loads = {
+                name: load
+                for name, load in loads.items()
+                if should_admit_stream(stream, load)
+            }
+        return [view for name in loads for view in by_group[name]]
 
     def _reserve_switch(self, call: Call) -> bool:
         """Take a retry for a stream that switches to another upstream.
--- a/src/amaranthrail/direct/loads.py
+++ b/src/amaranthrail/direct/loads.py
@@ -25,6 +25,9 @@
 #: Age from which a report's calls are not counted any more, in ms; single
 #: datagrams get lost.
 REPORT_EXPIRY_MS = 450.0
+#: Upstreams whose rank groups one report names; the leader names all of them
+#: within seconds of its start.
+GROUPS_PER_REPORT = 16
 _MAX_DATAGRAM_BYTES = 65_536
 _log = part_logger('loads')
 
@@ -42,19 +45,30 @@
         self._clock = clock
         self._reports: dict[str, _ReceivedReport] = {}
 
+    @property
+    def entries(self) -> int:
+        """Count this entry and those with an unexpired report."""
+        return 1 + len(self._unexpired())
+
     def update(self, sender: str, calls: dict[str, int]) -> None:
         """Replace an entry's report; ``calls`` counts by upstream name."""
         self._reports[sender] = _ReceivedReport(self._clock.now(), calls)
 
     def totals(self) -> Counter[str]:
         """Sum other entries' calls by upstream over unexpired reports."""
-        oldest = self._clock.now() - REPORT_EXPIRY_MS
         totals: Counter[str] = Counter()
-        for report in self._reports.values():
-            if report.received_at >= oldest:
-                totals.update(report.calls)
+        for report in self._unexpired():
+            totals.update(report.calls)
         return totals
 
+    def _unexpired(self) -> list[_ReceivedReport]:
+        oldest = self._clock.now() - REPORT_EXPIRY_MS
+        return [
+            report
+            for report in self._reports.values()
+            if report.received_at >= oldest
+        ]
+
 
 class ReportExchange:
     """Send this entry's reports to other entries and apply theirs."""
@@ -103,8 +117,15 @@
             own.shutdown_at,
             self._cluster.complete,
             self._cluster.version,
+            self._groups_to_report(),
         )
 
+    def _groups_to_report(self) -> dict[str, str]:
+        """Return some upstreams' groups if this entry reads them itself."""
+        if not self._members.was_leader:
+            return {}
+        return self._cluster.directory.next_groups(GROUPS_PER_REPORT)
+
     def _sample(self, hosts: list[str]) -> list[str]:
         """Draw at random as many hosts as one report is sent to or names."""
         return self._random.sample(hosts, min(MAX_REPORT_PEERS, len(hosts)))
@@ -145,4 +166,5 @@
                 ),
             )
             self._members.add_reported(report.live_hosts)
+            self._cluster.directory.assign_groups(report.groups)
             self._cluster.record_peer_version(report.version, sender[0])
--- a/src/amaranthrail/direct/members.py
+++ b/src/amaranthrail/direct/members.py
@@ -63,6 +63,11 @@
             is_successor(member, self._own) for member in self._live_members()
         )
 
+    @property
+    def was_leader(self) -> bool:
+        """Return the result of the latest check of leadership."""
+        return self._was_leader
+
     @property
     def count(self) -> int:
         """Count the entries that may be running, this one included."""
--- a/src/amaranthrail/direct/peermessages.py
+++ b/src/amaranthrail/direct/peermessages.py
@@ -57,6 +57,7 @@
     ``started_at`` is the wall time of its start in ms, ``shutdown_at`` that of
     its stop signal (0 before). ``has_cluster_state`` says that it knows a
     configuration and upstreams, ``version`` is that of its configuration.
+    ``groups`` has the rank groups of some upstreams, by upstream name.
     """
 
     calls: dict[str, int]
@@ -65,6 +66,7 @@
     shutdown_at: int = 0
     has_cluster_state: bool = True
     version: int = 0
+    groups: dict[str, str] = {}
 
 
 _request_decoder = msgspec.msgpack.Decoder(SyncRequest)
--- a/src/amaranthrail/direct/relay.py
+++ b/src/amaranthrail/direct/relay.py
@@ -16,9 +16,9 @@
 
 #: Longest event stream in bytes on the wire; each event is passed on at once.
 MAX_STREAM_BYTES = 67_108_864
-#: Makes a context manager for one wait for an upstream. It may cancel the wait
-#: and suppresses the cancellation.
-StallGuardFactory = Callable[[], AbstractContextManager[None]]
+#: Makes a context manager for one wait for an upstream of the group whose step
+#: times it gets. It may cancel the wait and suppresses the cancellation.
+StallGuardFactory = Callable[[StepTimes], AbstractContextManager[None]]
 
 
 class StreamRelay:
@@ -38,8 +38,9 @@
     ) -> None:
         """Relay to ``reply``, starting after the event ``last_id``.
 
-        Gaps between events are recorded in ``step_times``; each wait for an
-        upstream runs inside a guard from ``make_stall_guard``.
+        Gaps between events are recorded in ``step_times`` until another group
+        is followed; each wait for an upstream runs inside a guard from
+        ``make_stall_guard``.
         """
         self._reply = reply
         self._splitter = EventSplitter(last_id)
@@ -63,9 +64,13 @@
         """Return how many whole events have been relayed."""
         return self._splitter.events
 
+    def follow_group(self, step_times: StepTimes) -> None:
+        """Record gaps of the next attempt in its group's step times."""
+        self._step_times = step_times
+
     def make_stall_guard(self) -> AbstractContextManager[None]:
         """Return a guard for one wait for the upstream."""
-        return self._make_stall_guard()
+        return self._make_stall_guard(self._step_times)
 
     async def relay_response(
         self,
--- a/src/amaranthrail/direct/stalls.py
+++ b/src/amaranthrail/direct/stalls.py
@@ -39,9 +39,9 @@
     ) -> Iterator[None]:
         """Cancel the block where its stream alone is stalled.
 
-        ``step_times`` are those of the stream's service. ``reserve_switch``
-        tells whether the stream may resume at another upstream, and takes a
-        retry for it if so.
+        ``step_times`` are those of the group that serves the stream.
+        ``reserve_switch`` tells whether the stream may resume at another
+        upstream, and takes a retry for it if so.
         """
         with trio.CancelScope() as scope:
             self._waits[scope] = _GuardedWait(
--- a/src/amaranthrail/direct/upstreams.py
+++ b/src/amaranthrail/direct/upstreams.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator, Mapping
 
 from ..adapters.httpclient import Address, HttpClient
 from ..clock import Clock
@@ -25,6 +25,7 @@
 
 #: The order key of a removed upstream's last record, and the time of removal.
 _Tombstone = tuple[OrderKey, float]
+_GroupKey = tuple[ServiceName, GroupName | None]
 
 
 class Upstream:
@@ -123,6 +124,7 @@
             self._record.slots,
             self._in_flight,
             max(others, reported),
+            self._group,
             is_same_domain=self._record.domain == domain,
             is_ejected=self._health.is_ejected(now),
         )
@@ -139,7 +141,8 @@
         """Start without upstreams and without tombstones."""
         self._clock = clock
         self._upstreams: dict[str, Upstream] = {}
-        self._step_times: dict[ServiceName, StepTimes] = {}
+        self._step_times: dict[_GroupKey, StepTimes] = {}
+        self._next_group = 0
         self._tombstones: dict[str, _Tombstone] = {}
 
     def __len__(self) -> int:
@@ -167,14 +170,40 @@
         """Look up an upstream by name; None where it is unknown."""
         return self._upstreams.get(name)
 
-    def step_times(self, service: ServiceName) -> StepTimes:
-        """Return a service's step time estimate, created at first use."""
-        times = self._step_times.get(service)
+    def step_times(
+        self, service: ServiceName, group: GroupName | None
+    ) -> StepTimes:
+        """Return a group's step time estimate, created at first use.
+
+        Upstreams whose group is unknown share the estimate of group None.
+        """
+        key = service, group
+        times = self._step_times.get(key)
         if times is None:
             times = StepTimes(self._clock)
-            self._step_times[service] = times
+            self._step_times[key] = times
         return times
 
+    def next_groups(self, count: int) -> dict[str, str]:
+        """Return the groups of up to ``count`` upstreams, in turn."""
+        known = [
+            (name, upstream.group)
+            for name, upstream in self._upstreams.items()
+            if upstream.group is not None
+        ]
+        if not known:
+            return {}
+        first = self._next_group % len(known)
+        self._next_group = first + count
+        return dict(known[first : first + count])
+
+    def assign_groups(self, groups: Mapping[str, str]) -> None:
+        """Apply the groups that another entry reports, by upstream name."""
+        for name, group in groups.items():
+            upstream = self._upstreams.get(name)
+            if upstream is not None and upstream.group != group:
+                upstream.assign_group(GroupName(group))
+
     def ready_upstreams(
         self,
         service: ServiceName,
@@ -260,6 +289,18 @@
         }
 
 
+def silent_ms_by_group(
+    upstreams: Iterable[Upstream],
+) -> dict[GroupName | None, float]:
+    """Return the time since the last event of each group's streams here."""
+    silent_ms: dict[GroupName | None, float] = {}
+    for upstream in upstreams:
+        if upstream.in_flight:
+            least_ms = silent_ms.get(upstream.group, upstream.silent_ms)
+            silent_ms[upstream.group] = min(least_ms, upstream.silent_ms)
+    return silent_ms
+
+
 def _make_client(record: UpstreamRecord) -> HttpClient:
     return HttpClient(
         Address(record.host, record.port),
