--- a/src/amaranthrail/ranks/change.py
+++ b/src/amaranthrail/ranks/change.py
@@ -22,11 +22,9 @@
 from ..logs import part_logger
 from .ports import MapOrder, OrderKind, OrderResult, Placement, RankReport
 
-#: Age of what a rank reports, in ms.
-REPORT_AGE_MS = 200.0
-#: Least times between a report and the step that is held, in ms; the second
-#: applies if the first was too short. Reports are REPORT_AGE_MS old, and a hold
-#: and an arm take some 10 ms each.
+#: Times between a report and the step that is held, in ms; the second applies
+#: if the first was too short. Reports are 200 ms old, and a hold and an arm
+#: take some 10 ms each.
 HOLD_AHEAD_MS = (300.0, 600.0)
 #: The same while orders get no response, in ms: three retries fit in.
 SLOW_HOLD_AHEAD_MS = 1000.0
@@ -117,14 +115,9 @@
         members = tuple(ranks)
         if not await self._prepare(members, request):
             return ChangeOutcome.NOT_PREPARED
-        copying_ms = request.copying_ms + COPY_SLACK_MS
-        copied_at = self._clock.now() + copying_ms
-        # The step is held while the experts are copied: the group begins
-        # other steps until both are done.
-        step = await self._hold_step(request, copying_ms)
+        step = await self._hold_step(request)
         if step is None:
             return ChangeOutcome.NOT_HELD
-        await sleep(copied_at - self._clock.now())
         arm = MapOrder(OrderKind.ARM, request.epoch, request.version, step)
         orders = dict.fromkeys(members, arm)
         if await self._confirm_all(orders, CONFIRM_MS, REFUSED_ARM_MS):
@@ -209,20 +202,17 @@
             request.version,
             placement=request.placement,
         )
-        return await self._confirm_all(
+        if not await self._confirm_all(
             dict.fromkeys(members, order),
             PREPARE_MS,
-        )
-
-    async def _hold_step(
-        self, request: ChangeRequest, copying_ms: float
-    ) -> int | None:
-        """Hold a step that begins once the experts are copied.
-
-        Return its number, None on failure.
-        """
-        for least_ahead_ms in HOLD_AHEAD_MS:
-            ahead_ms = max(least_ahead_ms, copying_ms + REPORT_AGE_MS)
+        ):
+            return False
+        await sleep(request.copying_ms + COPY_SLACK_MS)
+        return True
+
+    async def _hold_step(self, request: ChangeRequest) -> int | None:
+        """Hold a step that begins soon; return its number, None on failure."""
+        for ahead_ms in HOLD_AHEAD_MS:
             report = await self._fetch_report(self._holder)
             if report is None or report.epoch != request.epoch:
                 break
