Admit by urgency relative to the service; read no reports for large groups

Cause: (1) limits went by the number of a route's priority, so a service whose routes start at 5 had the lowest limits for all. (2) Entries that do not lead looked for a held step in groups whose maps are never changed: 192 reports by each of 36 entries at each slow step. Change: the rank of urgency counts from the most urgent route of the service; groups too large for changes are never searched.

--- a/src/amaranthrail/direct/deployment.py
+++ b/src/amaranthrail/direct/deployment.py
@@ -141,11 +141,28 @@
         repr=False,
     )
 
+    _most_urgent: dict[ServiceName, int] = field(
+        init=False,
+        default_factory=dict,
+        repr=False,
+    )
+
     def __post_init__(self) -> None:
-        """Index the routes by lower-case host and by path prefix."""
+        """Index the routes by host and prefix, and services by priority."""
         for route in self.routes:
             prefixes = self._by_host.setdefault(route.host.lower(), {})
             prefixes[route.prefix] = route
+            for share in route.shares:
+                known = self._most_urgent.get(share.service, route.priority)
+                self._most_urgent[share.service] = min(known, route.priority)
+
+    def urgency_rank(self, service: ServiceName, priority: int) -> int:
+        """Return how far a priority is behind the service's most urgent one.
+
+        The result is 0 for a call of the most urgent route or above.
+        """
+        most_urgent = self._most_urgent.get(service, priority)
+        return max(0, priority - most_urgent)
 
     def target_gap_ms(self, service: ServiceName) -> Millis | None:
         """Return the least target gap among a service's routes, in ms."""
--- a/src/amaranthrail/direct/forward.py
+++ b/src/amaranthrail/direct/forward.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from functools import partial
 
 import msgspec
@@ -14,6 +14,7 @@
 from ..clock import Clock, move_on_after
 from ..outcomes import Reason, Refusal, not_run, unknown_outcome
 from ..policy.rankgroups import (
+    GroupLoad,
     make_group_load,
     serving_groups,
     split_by_group,
@@ -24,11 +25,12 @@
 )
 from ..policy.selection import UpstreamView, select_upstream
 from ..policy.streamadmission import StreamRequest, should_admit_stream
-from ..types import DomainName, HeaderList
+from ..types import DomainName, GroupName, HeaderList
 from .attempt import AttemptSender
 from .call import BufferedResponse, Call, Failure, StreamTiming, UpstreamChoice
 from .calllog import CallLog
 from .clusterstate import ClusterState
+from .deployment import Deployment, Engine
 from .loads import SharedLoads
 from .relay import StreamRelay
 from .retrybudgets import RetryBudgets
@@ -173,35 +175,20 @@
         Only streams of services with engines are subject to admission, each
         of them once; a retry only avoids groups that do not serve.
         """
+        deployment = self._cluster.deployment
         service = self._cluster.service(call.service)
         engine = None if service is None else service.engine
-        if not views or engine is None or not call.route.streaming:
+        if not call.route.streaming or deployment is None or engine is None:
+            return views
+        if not views:
             return views
         by_group = split_by_group(views)
-        silent_ms = silent_ms_by_group(ready)
-        step_times = partial(self._cluster.directory.step_times, call.service)
-        loads = serving_groups(
-            {
-                group: make_group_load(
-                    members,
-                    step_times(group).step_ms,
-                    silent_ms.get(group, 0),
-                )
-                for group, members in by_group.items()
-            }
-        )
+        loads = serving_groups(self._group_loads(call, by_group, ready))
         if not call.choices:
             call.engine_load = min(
                 loads.values(), key=lambda load: load.mean_load
             )
-            stream = StreamRequest(
-                remaining_ms=call.deadline - self._clock.now(),
-                route_timeout_ms=call.route.timeout_ms,
-                target_gap_ms=call.route.target_gap_ms,
-                priority=call.priority,
-                steps=call.metadata.expected_tokens / engine.tokens_per_step,
-                is_resumed=call.metadata.last_event_id is not None,
-            )
+            stream = self._make_stream_request(call, deployment, engine)
             loads = {
                 name: load
                 for name, load in loads.items()
@@ -209,6 +196,33 @@
             }
         return [view for name in loads for view in by_group[name]]
 
+    def _group_loads(
+        self,
+        call: Call,
+        by_group: Mapping[GroupName | None, list[UpstreamView]],
+        ready: list[Upstream],
+    ) -> dict[GroupName | None, GroupLoad]:
+        silent_ms = silent_ms_by_group(ready)
+        step_times = partial(self._cluster.directory.step_times, call.service)
+        return {
+            group: make_group_load(
+                members, step_times(group).step_ms, silent_ms.get(group, 0)
+            )
+            for group, members in by_group.items()
+        }
+
+    def _make_stream_request(
+        self, call: Call, deployment: Deployment, engine: Engine
+    ) -> StreamRequest:
+        return StreamRequest(
+            remaining_ms=call.deadline - self._clock.now(),
+            route_timeout_ms=call.route.timeout_ms,
+            target_gap_ms=call.route.target_gap_ms,
+            urgency_rank=deployment.urgency_rank(call.service, call.priority),
+            steps=call.metadata.expected_tokens / engine.tokens_per_step,
+            is_resumed=call.metadata.last_event_id is not None,
+        )
+
     def _reserve_switch(self, call: Call) -> bool:
         """Take a retry for a stream that switches to another upstream.
 
--- a/src/amaranthrail/policy/streamadmission.py
+++ b/src/amaranthrail/policy/streamadmission.py
@@ -21,22 +21,23 @@
 MAX_ENGINE_LOAD = 1.0
 MAX_RESUMED_LOAD = 1.6
 #: Highest load per slot of a whole group at which a first request and a retry
-#: after a refusal of priority 0 are admitted, what each further priority takes
-#: off both, and the least value. A retry is late in any case: if retries came
-#: first, each would make another caller late, long after the peak.
+#: after a refusal are admitted if they are most urgent, what each further rank
+#: of urgency takes off both, and the least value. A retry is late in any case:
+#: if retries came first, each would make another caller late, long after the
+#: peak.
 MAX_FIRST_REQUEST_MEAN_LOAD = 1.0
-MAX_RETRY_MEAN_LOAD = 0.9
-MEAN_LOAD_PER_PRIORITY = 0.05
-MIN_MEAN_LOAD = 0.8
+MAX_RETRY_MEAN_LOAD = 0.92
+MEAN_LOAD_PER_RANK = 0.02
+MIN_MEAN_LOAD = 0.9
 #: Fraction of a stream's expected length that must fit into the time left;
 #: half of all streams are shorter than expected.
 REQUIRED_LENGTH_SHARE = 0.5
-#: Step time as a fraction of the target gap from which a first request of
-#: priority 0 is refused, what each further priority takes off it, and its least
-#: value: the less urgent leave room for the more urgent.
+#: Step time as a fraction of the target gap from which a first request of the
+#: most urgent calls is refused, what each further rank of urgency takes off it,
+#: and its least value: the less urgent leave room for the more urgent.
 MAX_STEP_SHARE = 0.95
-STEP_SHARE_PER_PRIORITY = 0.05
-MIN_STEP_SHARE = 0.8
+STEP_SHARE_PER_RANK = 0.02
+MIN_STEP_SHARE = 0.88
 #: The same fraction from which a step is so long because of a slow rank that
 #: fewer streams would not bring it below the target gap.
 SLOW_STEP_SHARE = 1.6
@@ -52,16 +53,17 @@
 
     ``remaining_ms`` is the time to its deadline and ``route_timeout_ms`` the
     timeout of its route, ``target_gap_ms`` the longest gap between events with
-    which it is in time, if the route states one. ``priority`` is 0 for the most
-    urgent. ``steps`` is the expected number of engine steps that
-    generate the whole stream, 0 if unknown. ``is_resumed`` says that the caller
-    already has the beginning of the stream.
+    which it is in time, if the route states one. ``urgency_rank`` is 0 for the
+    most urgent calls of the service, and higher the less urgent the call is.
+    ``steps`` is the expected number of engine steps that generate the whole
+    stream, 0 if unknown. ``is_resumed`` says that the caller already has the
+    beginning of the stream.
     """
 
     remaining_ms: float
     route_timeout_ms: float
     target_gap_ms: float | None = None
-    priority: int = 0
+    urgency_rank: int = 0
     steps: float = 0
     is_resumed: bool = False
 
@@ -89,7 +91,7 @@
     mean_limit = MAX_RETRY_MEAN_LOAD
     if request.is_first_request:
         mean_limit = MAX_FIRST_REQUEST_MEAN_LOAD
-    mean_limit -= MEAN_LOAD_PER_PRIORITY * request.priority
+    mean_limit -= MEAN_LOAD_PER_RANK * request.urgency_rank
     return load.least_load <= MAX_ENGINE_LOAD and load.mean_load <= max(
         MIN_MEAN_LOAD, mean_limit
     )
@@ -107,5 +109,5 @@
     if not request.is_first_request or load.mean_load < MIN_LIMITED_LOAD:
         return False
     share = load.step_ms / request.target_gap_ms
-    limit = MAX_STEP_SHARE - STEP_SHARE_PER_PRIORITY * request.priority
+    limit = MAX_STEP_SHARE - STEP_SHARE_PER_RANK * request.urgency_rank
     return max(MIN_STEP_SHARE, limit) < share < SLOW_STEP_SHARE
--- a/src/amaranthrail/ranks/controller.py
+++ b/src/amaranthrail/ranks/controller.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Iterable
-from functools import partial
+from collections import Counter
+from collections.abc import Awaitable, Callable, Collection
 
 import trio
 
 from ..clock import Clock, sleep
 from ..direct.clusterstate import ClusterState
-from ..direct.deployment import Deployment, ExpertLayout, Service
+from ..direct.deployment import Deployment, ExpertLayout
 from ..direct.upstreams import Upstream, silent_ms_by_group
 from ..logs import part_logger
+from ..policy.rebalancing import can_rebalance
 from ..types import GroupName, ServiceName
 from .groups import GroupDirectory, GroupKey, RankPorts
 from .leader import Leader
@@ -99,39 +100,44 @@
         self, nursery: trio.Nursery, deployment: Deployment
     ) -> None:
         for service in deployment.services.values():
-            layout = service.layout
-            if layout is None:
-                continue
-            make_leader = partial(_make_leader, deployment, service, layout)
-            await self._update_service(nursery, service, make_leader)
+            if service.layout is not None:
+                gap_ms = deployment.target_gap_ms(service.name)
+                await self._update_service(
+                    nursery,
+                    service.name,
+                    service.layout,
+                    gap_ms or DEFAULT_GAP_MS,
+                )
 
     async def _update_service(
         self,
         nursery: trio.Nursery,
-        service: Service,
-        make_leader: Callable[[Clock], Leader],
+        service: ServiceName,
+        layout: ExpertLayout,
+        target_gap_ms: float,
     ) -> None:
         upstreams = self._cluster.directory.ready_upstreams(
-            service.name, frozenset()
+            service, frozenset()
         )
+        directory = self._directory(service)
         update: _GroupUpdate = self._lead
         if not self._is_leader():
-            stalled = self._stalled_groups(upstreams)
+            stalled = self._stalled_groups(upstreams, layout)
             if not stalled:
                 return
             update = self._recover
             for name in stalled:
-                self._directory(service.name).forget(name)
-        directory = self._directory(service.name)
+                directory.forget(name)
         await directory.refresh(upstreams)
         for key, ranks in directory.groups.items():
+            # Reports are billed, and of no use where maps cannot be changed.
+            if not _can_rebalance(layout, len(ranks)):
+                continue
             group = self._groups.get(key)
             if group is None:
-                group = _ControlledGroup(make_leader(self._clock))
+                leader = Leader(layout, target_gap_ms, self._clock)
+                group = _ControlledGroup(leader)
                 self._groups[key] = group
-            # Reports are billed, and of no use where maps cannot be changed.
-            if not group.leader.can_rebalance(len(ranks)):
-                continue
             if not group.cycle_lock.locked():
                 group.replace_ranks(ranks)
                 nursery.start_soon(update, key, group)
@@ -150,19 +156,22 @@
             await group.leader.recover_held_step()
 
     def _stalled_groups(
-        self, upstreams: Iterable[Upstream]
+        self, upstreams: Collection[Upstream], layout: ExpertLayout
     ) -> set[GroupName | None]:
         """Return the groups whose streams here have all stopped.
 
-        Upstreams whose group is unknown count as one group, None.
+        Upstreams whose group is unknown count as one group, None. Groups too
+        large for changes of their map have no held step.
         """
         now = self._clock.now()
         if now - self._stall_found_at < STALL_INTERVAL_MS:
             return set()
+        sizes = Counter(upstream.group for upstream in upstreams)
         stalled = {
             group
             for group, silent_ms in silent_ms_by_group(upstreams).items()
             if silent_ms >= STREAM_STALL_MS
+            and _can_rebalance(layout, sizes[group])
         }
         if stalled:
             self._stall_found_at = now
@@ -174,11 +183,5 @@
         )
 
 
-def _make_leader(
-    deployment: Deployment,
-    service: Service,
-    layout: ExpertLayout,
-    clock: Clock,
-) -> Leader:
-    gap_ms = deployment.target_gap_ms(service.name) or DEFAULT_GAP_MS
-    return Leader(layout, gap_ms, clock)
+def _can_rebalance(layout: ExpertLayout, ranks: int) -> bool:
+    return can_rebalance(layout.sets, layout.placements, ranks)
--- a/src/amaranthrail/ranks/leader.py
+++ b/src/amaranthrail/ranks/leader.py
@@ -19,7 +19,6 @@
     plan_layer_set,
 )
 from ..policy.rebalancing import (
-    can_rebalance,
     has_high_load,
     has_moderate_load,
     should_change_map,
@@ -107,11 +106,6 @@
         """Tell whether another leader's recent change prevents any here."""
         return self._clock.now() < self._back_off_until
 
-    def can_rebalance(self, ranks: int) -> bool:
-        """Tell whether the map of a group of this size can be changed."""
-        layout = self._layout
-        return can_rebalance(layout.sets, layout.placements, ranks)
-
     def replace_ranks(self, ranks: Mapping[int, RankPort]) -> None:
         """Replace the ranks of the group and choose the one to hold steps."""
         self._ranks = ranks
--- a/tests/lockstep.py
+++ b/tests/lockstep.py
@@ -53,6 +53,7 @@
     open: bool = True
     step: int = 0
     orders: int = 0
+    reports: int = 0
     mixed_steps: list[int] = field(default_factory=list)
     unresponsive: set[int] = field(default_factory=set)
     ranks: list[FakeRank] = field(default_factory=list)
@@ -76,6 +77,7 @@
         self.ranks = [FakeRank(number) for number in range(self.size)]
 
     async def fetch_report(self, rank: int) -> RankReport | None:
+        self.reports += 1
         await trio.sleep(0.002)
         if rank in self.unresponsive:
             return None
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -14,7 +14,7 @@
 from amaranthrail.outcomes import Reason, not_run
 from amaranthrail.platform import headers, records, store
 from amaranthrail.platform.settings import load_settings, parse_settings
-from amaranthrail.types import Millis, OrganisationName
+from amaranthrail.types import Millis, OrganisationName, ServiceName
 
 from .platformbuild import (
     SETTINGS,
@@ -252,3 +252,17 @@
     services = [{'name': 'engine', 'engine': engine}]
     deployment = read_valid_deployment(configuration(services=services))
     assert len(deployment.services) == 1
+
+
+def test_urgency_is_relative_to_the_most_urgent_route_of_a_service() -> None:
+    """Guards against limits that depend on how an operator numbers routes."""
+    routes = [
+        route(f'r{priority}', 'streaming', 'engine', priority=priority)
+        for priority in (3, 5)
+    ]
+    deployment = read_valid_deployment(configuration(routes=routes))
+    engine = ServiceName('engine')
+    assert deployment.urgency_rank(engine, 3) == 0
+    assert deployment.urgency_rank(engine, 5) == 2
+    assert deployment.urgency_rank(engine, 1) == 0
+    assert deployment.urgency_rank(ServiceName('unknown'), 4) == 0
