--- a/src/amaranthrail/adapters/httpclient.py
+++ b/src/amaranthrail/adapters/httpclient.py
@@ -218,6 +218,11 @@
         """Return the address of the server."""
         return self._address
 
+    @property
+    def idle_count(self) -> int:
+        """Return the number of idle connections that are kept."""
+        return len(self._idle)
+
     def close_idle(self) -> None:
         """Close the idle connections; those in use stay open."""
         while self._idle:
--- a/src/amaranthrail/direct/callers.py
+++ b/src/amaranthrail/direct/callers.py
@@ -50,7 +50,7 @@
             self._call_log.record_rejection(
                 metadata.attempt_id,
                 call.reason.value,
-                self._cluster.version,
+                self._cluster.configuration_view,
             )
             headers = self._wire_format.refusal_headers(call)
             await send_refusal(reply, call, headers)
--- a/src/amaranthrail/direct/calllog.py
+++ b/src/amaranthrail/direct/calllog.py
@@ -9,6 +9,7 @@
 from ..metrics import Metrics
 from ..outcomes import Refusal
 from .call import BufferedResponse, Call, Failure, StreamTiming
+from .clusterstate import ConfigurationView
 from .deployment import UpstreamRecord
 
 #: Answered calls a second that are all logged; above this rate, only one in
@@ -111,16 +112,22 @@
         self,
         attempt_id: str,
         reason: str,
-        version: int,
+        view: ConfigurationView,
     ) -> None:
-        """Record a request that was refused before it could be forwarded."""
+        """Record a request that was refused before it could be forwarded.
+
+        ``view`` is that of the configuration that decided.
+        """
         self._metrics.count('rejected', reason=reason)
         if self._may_log_problem():
             _log.warning(
                 'rejected',
                 request=attempt_id,
                 reason=reason,
-                version=version,
+                version=view.version,
+                read_age_ms=view.read_age_ms,
+                reported_version=view.reported_version,
+                reported_ms=view.reported_ms,
             )
 
     def record_disconnect(self, call: Call, events: int) -> None:
--- a/src/amaranthrail/direct/clusterstate.py
+++ b/src/amaranthrail/direct/clusterstate.py
@@ -25,6 +25,21 @@
     first_seen_at: float
 
 
+class ConfigurationView(msgspec.Struct, frozen=True):
+    """Describe how recent the configuration in force is.
+
+    ``version`` is 0 before the first. ``read_age_ms`` is the time since the
+    store last answered a read of the configuration, None before the first.
+    ``reported_version`` is a later version that another entry has reported for
+    ``reported_ms``, None where there is none.
+    """
+
+    version: int
+    read_age_ms: int | None
+    reported_version: int | None = None
+    reported_ms: int | None = None
+
+
 class ClusterState:
     """Apply updates from the store and from other entries in any order.
 
@@ -37,6 +52,7 @@
         self._deployment: Deployment | None = None
         self._clock = clock
         self._newer_version: NewerVersion | None = None
+        self._read_at: float | None = None
         self._directory = Directory(clock)
 
     @property
@@ -64,6 +80,23 @@
             return None
         return newer
 
+    @property
+    def configuration_view(self) -> ConfigurationView:
+        """Return the version in force and what is known of its age."""
+        now = self._clock.now()
+        read_age_ms = (
+            None if self._read_at is None else int(now - self._read_at)
+        )
+        newer = self.newer_version
+        if newer is None:
+            return ConfigurationView(self.version, read_age_ms)
+        return ConfigurationView(
+            self.version,
+            read_age_ms,
+            newer.version,
+            int(now - newer.first_seen_at),
+        )
+
     @property
     def directory(self) -> Directory:
         """Return the directory that upstream updates are applied to."""
@@ -92,6 +125,10 @@
         """Drop the reported later version; the next report sets it again."""
         self._newer_version = None
 
+    def record_configuration_read(self) -> None:
+        """Record that the store has just answered a read of its topic."""
+        self._read_at = self._clock.now()
+
     def apply_configuration(self, record: StoreRecord, source: str) -> None:
         """Apply a record of the configuration topic; ignore other keys."""
         is_configuration = record.key == self._wire_format.configuration_key
@@ -113,12 +150,14 @@
             return False
         if deployment.version <= self.version:
             return False
-        earlier = self.version
+        replaced = self.configuration_view
         self._deployment = deployment
         _log.info(
             'configuration in force',
             version=deployment.version,
-            earlier=earlier,
+            earlier=replaced.version,
+            reported_ms=replaced.reported_ms,
+            read_age_ms=replaced.read_age_ms,
             routes=len(deployment.routes),
             source=source,
         )
--- a/src/amaranthrail/direct/peers.py
+++ b/src/amaranthrail/direct/peers.py
@@ -161,7 +161,12 @@
                 return
         except _SYNC_ERRORS as error:
             cause = str(error)
-        _log.info('sync with entry failed', peer=host, cause=cause)
+        _log.info(
+            'sync with entry failed',
+            peer=host,
+            cause=cause,
+            version=self._cluster.version,
+        )
 
     async def _exchange(self, host: str) -> SyncResponse:
         port = self._settings.peer_port
--- a/src/amaranthrail/direct/service.py
+++ b/src/amaranthrail/direct/service.py
@@ -17,7 +17,7 @@
 )
 from ..adapters.listen import open_listeners
 from ..adapters.probes import send_metrics, send_readiness
-from ..clock import Clock, move_on_after, sleep
+from ..clock import MS_PER_SECOND, Clock, move_on_after, sleep
 from ..logs import part_logger
 from ..metrics import Metrics
 from ..ranks.controller import MapController
@@ -237,6 +237,11 @@
         _request: HttpRequest,
         reply: ResponseWriter,
     ) -> None:
+        view = self._cluster.configuration_view
+        self._metrics.gauge('configuration_version', view.version)
+        if view.read_age_ms is not None:
+            read_age_s = view.read_age_ms / MS_PER_SECOND
+            self._metrics.gauge('configuration_read_age_seconds', read_age_s)
         await send_metrics(reply, self._metrics)
 
     def _limits(self) -> ServerLimits:
--- a/src/amaranthrail/direct/sync.py
+++ b/src/amaranthrail/direct/sync.py
@@ -146,6 +146,12 @@
         if snapshot.end < self._highest_end:
             # The store returned an old state: keys that are missing there may
             # have been written later, so the snapshot cannot be used.
+            _log.warning(
+                'outdated snapshot ignored',
+                topic=self._topic.value,
+                end=snapshot.end,
+                highest_end=self._highest_end,
+            )
             return StoreFailure.MALFORMED
         self._offset = snapshot.end
         self._highest_end = snapshot.end
@@ -169,6 +175,7 @@
             continue
         for record in update.records:
             cluster.apply_configuration(record, 'store')
+        cluster.record_configuration_read()
 
 
 class UpstreamSync:
--- a/src/amaranthrail/platform/store.py
+++ b/src/amaranthrail/platform/store.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from ..adapters.httpclient import Address, HttpClient, HttpResponse
-from ..clock import move_on_after
+from ..clock import Clock, move_on_after
 from ..direct.ports import (
     Changes,
     Snapshot,
@@ -19,6 +19,7 @@
 )
 from ..exceptions import HttpError
 from ..logs import part_logger
+from ..types import Millis
 
 #: Timeout of a call in ms, on top of the time that the store is asked to wait.
 #: The store takes 4 ms on the users' data sheets, 60 times as long when it is
@@ -60,6 +61,7 @@
     def __init__(self, address: Address) -> None:
         """Set the address of the store."""
         self._client = HttpClient(address)
+        self._clock = Clock()
 
     async def read_snapshot(self, topic: Topic) -> Snapshot | StoreFailure:
         """Return the newest record of each key; see StorePort."""
@@ -123,14 +125,15 @@
         wait_ms: int = 0,
     ) -> HttpResponse | StoreFailure:
         response: HttpResponse | None = None
+        called_at = self._clock.now()
         try:
             with move_on_after(wait_ms + CALL_TIMEOUT_MS):
                 response = await self._client.call(method, target, body=body)
         except HttpError as error:
-            _log.warning('call failed', target=target, cause=str(error))
+            self._log_failure('call failed', target, called_at, str(error))
             return StoreFailure.UNREACHABLE
         if response is None:
-            _log.warning('call timed out', target=target)
+            self._log_failure('call timed out', target, called_at)
             return StoreFailure.UNREACHABLE
         if response.status == _HTTP_OK:
             return response
@@ -139,6 +142,21 @@
         _log.warning('call refused', target=target, status=response.status)
         return StoreFailure.REFUSED
 
+    def _log_failure(
+        self,
+        event: str,
+        target: str,
+        called_at: Millis,
+        cause: str | None = None,
+    ) -> None:
+        _log.warning(
+            event,
+            target=target,
+            cause=cause,
+            took_ms=int(self._clock.now() - called_at),
+            idle_connections=self._client.idle_count,
+        )
+
 
 def _read_item(wire: _WireItem) -> StoreRecord:
     return StoreRecord(wire.key, base64.b64decode(wire.payload))
--- a/tests/platformbuild.py
+++ b/tests/platformbuild.py
@@ -27,6 +27,19 @@
 """
 
 
+class FakeTime:
+    """Return a time in seconds that only a test moves, for Clock."""
+
+    def __init__(self) -> None:
+        self.now_s = 100.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+    def advance_ms(self, duration_ms: float) -> None:
+        self.now_s += duration_ms / 1000
+
+
 def configuration(
     version: int = 1, gap_ms: float | None = None, **changes: Any
 ) -> bytes:
