--- a/tests/test_sync.py
+++ b/tests/test_sync.py
@@ -22,10 +22,18 @@
     StoreStatus,
     TopicFollower,
     UpstreamSync,
+    follow_configuration,
 )
 from amaranthrail.platform.program import WIRE_FORMAT
 
-from .platformbuild import upstream_record
+from .memorystore import MemoryStore
+from .platformbuild import configuration, upstream_record
+
+#: Time after a disturbance within which an entry's view must be current again,
+#: and time in which a change must be in force, in seconds (the users' bounds
+#: ``contact_ms`` and ``config_apply_ms``).
+CONTACT_S = 3.0
+APPLY_S = 2.0
 
 _ReadResult = Snapshot | Changes | StoreFailure
 
@@ -186,3 +194,35 @@
     removed = Changes((StoreRecord('i-1', None),), 3)
     late = Changes((heartbeat('i-1', 1),), 4)
     follow([Snapshot(BOTH_RECORDS, 2), removed, late], scenario)
+
+
+def is_in_force_in_time(silenced_at_s: float) -> bool:
+    """Lose the reads that are open; tell whether a change comes in time."""
+
+    async def main() -> bool:
+        clock = Clock(trio.current_time)
+        cluster = ClusterState(clock, WIRE_FORMAT)
+        store = MemoryStore()
+        store.put('config', configuration(1))
+        status = StoreStatus(clock)
+        follower = TopicFollower(store, Topic.CONFIGURATION, status)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(follow_configuration, follower, cluster)
+            await trio.sleep(silenced_at_s)
+            store.silence_reads()
+            await trio.sleep(CONTACT_S - APPLY_S)
+            store.put('config', configuration(2))
+            await trio.sleep(APPLY_S)
+            nursery.cancel_scope.cancel()
+        return cluster.version == 2
+
+    return trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+def test_held_reads_that_lost_their_responses_delay_no_configuration() -> None:
+    """Guards against a 401 by an older configuration at entries in contact.
+
+    All entries had a read open whose response was lost without an error.
+    """
+    moments = [tenth / 10 for tenth in range(1, 60)]
+    assert not [at for at in moments if not is_in_force_in_time(at)]
