Replace a store read whose response is lost before an entry counts again

What callers saw: a 401 or 404 by an older configuration, more than the allowed two seconds after the store had acknowledged the newer one.

Cause: a view without a bound on its age. Each entry holds one read of a topic open; where its response was lost without an error, the entry waited 3,000 + 900 ms for it and 300 ms more before it read again: 4.2 s, while an entry counts again 3.0 s (contact_ms) after a disturbance. If the reads of all entries are lost, no peer reports the change either. The same cause delays draining upstreams.

Change: how long the store may hold a read follows from contact_ms (policy/storereads; 1,900 ms for 3,000), a response counts as lost 700 ms later, and the next read begins at once. A separate check for a silent store is not needed any more: the failed read sets the same state as early.

Ruled out: a shorter hold for one entry only; an entry that reaches the store but no other entry has to be in time by itself.

--- a/src/amaranthrail/direct/peers.py
+++ b/src/amaranthrail/direct/peers.py
@@ -30,9 +30,6 @@
 from .settings import DirectSettings
 from .sync import StoreStatus
 
-#: Time without a response of the store after which other entries get sync
-#: requests, in ms; the store may hold a read for 3,000.
-STORE_SILENCE_MS = 3400.0
 #: Interval between sync requests, in ms: updates reach 5 entries within a
 #: second.
 SYNC_INTERVAL_MS = 300.0
@@ -140,8 +137,7 @@
 
     def _needs_peers(self) -> bool:
         """Tell whether the store fails or this entry's state is incomplete."""
-        silent = self._store_status.silent_ms > STORE_SILENCE_MS
-        return self._store_status.lost or silent or not self._cluster.complete
+        return self._store_status.lost or not self._cluster.complete
 
     async def _sync_with_any(self) -> None:
         hosts = sorted(self._members.hosts)
--- a/src/amaranthrail/direct/service.py
+++ b/src/amaranthrail/direct/service.py
@@ -78,9 +78,15 @@
             store,
             Topic.CONFIGURATION,
             self._store_status,
+            self._read_wait_ms,
         )
         self._upstream_sync = UpstreamSync(
-            TopicFollower(store, Topic.UPSTREAMS, self._store_status),
+            TopicFollower(
+                store,
+                Topic.UPSTREAMS,
+                self._store_status,
+                self._read_wait_ms,
+            ),
             self._cluster,
             self._store_status,
         )
@@ -244,6 +250,9 @@
             self._metrics.gauge('configuration_read_age_seconds', read_age_s)
         await send_metrics(reply, self._metrics)
 
+    def _read_wait_ms(self) -> int:
+        return self._settings.read_wait_ms
+
     def _limits(self) -> ServerLimits:
         limits = self._cluster.caller_limits
         return ServerLimits(
--- a/src/amaranthrail/direct/settings.py
+++ b/src/amaranthrail/direct/settings.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ..adapters.httpclient import Address
+from ..policy.storereads import choose_wait_ms
 from ..types import DomainName, Millis
 
 
@@ -26,7 +27,8 @@
     ``peer_port`` is the port for messages between entries, the same on every
     host; ``metrics_port`` is the one that serves metrics. ``seeds`` are hosts
     that may run an entry. ``shutdown_ms`` is the time from the stop signal
-    until the process is killed.
+    until the process is killed. ``contact_ms`` is the time after a disturbance
+    of its path to the store within which the entry must be up to date again.
     """
 
     name: str
@@ -39,4 +41,10 @@
     store: Address
     seeds: tuple[str, ...]
     shutdown_ms: Millis
+    contact_ms: Millis
     retry_limits: RetryBudgetLimits
+
+    @property
+    def read_wait_ms(self) -> int:
+        """Return for how long the store is asked to hold a read, in ms."""
+        return choose_wait_ms(self.contact_ms)
--- a/src/amaranthrail/direct/sync.py
+++ b/src/amaranthrail/direct/sync.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
-from ..clock import Clock, sleep
+import math
+from collections.abc import Callable
+
+from ..clock import Clock, move_on_after, sleep
 from ..logs import part_logger
+from ..policy.storereads import RESPONSE_TIMEOUT_MS
 from .clusterstate import ClusterState
 from .ports import (
     Changes,
@@ -14,15 +18,10 @@
     Topic,
 )
 
-#: Time for which the store is asked to hold a read, in ms. A connection that a
-#: partition has made silent is detected after this time and a call's timeout.
-#: Updates must be in force 5 s after the partition ends: 3 s until hosts count
-#: as in contact, and 2 s more.
-READ_WAIT_MS = 3000
 #: Least interval between reads of a topic, in ms: calls are billed, and a
 #: change must be in force within two seconds.
 READ_INTERVAL_MS = 400.0
-#: Delay between retries while the store fails, in ms.
+#: Least interval between reads of a topic while the store fails, in ms.
 RETRY_MS = 300.0
 #: Time for which the store is asked to hold a read while upstreams whose
 #: records expired may still register again, in ms.
@@ -94,11 +93,16 @@
         store: StorePort,
         topic: Topic,
         status: StoreStatus,
+        wait_ms: Callable[[], int],
     ) -> None:
-        """Start before the first snapshot; record results in ``status``."""
+        """Start before the first snapshot; record results in ``status``.
+
+        ``wait_ms`` returns for how long the store is asked to hold a read.
+        """
         self._store = store
         self._topic = topic
         self._status = status
+        self._wait_ms = wait_ms
         self._clock = status.clock
         self._next_read_at = 0.0
         self._offset: int | None = None
@@ -106,18 +110,20 @@
 
     async def next_update(
         self,
-        wait_ms: int,
+        max_wait_ms: float = math.inf,
     ) -> Snapshot | Changes | StoreFailure:
         """Return the changes since the last call, a snapshot at first.
 
         A snapshot also follows where the history since then is gone. The store
-        is asked to hold the read for ``wait_ms``.
+        is asked to hold the read for ``max_wait_ms`` at most.
         """
         await sleep(self._next_read_at - self._clock.now())
-        next_read_at = self._clock.now() + READ_INTERVAL_MS
-        update = await self._read_update(wait_ms)
-        if not isinstance(update, StoreFailure):
-            self._next_read_at = next_read_at
+        started_at = self._clock.now()
+        update = await self._read_update(int(min(max_wait_ms, self._wait_ms())))
+        interval_ms = READ_INTERVAL_MS
+        if isinstance(update, StoreFailure):
+            interval_ms = RETRY_MS
+        self._next_read_at = started_at + interval_ms
         return update
 
     async def _read_update(
@@ -126,9 +132,11 @@
     ) -> Snapshot | Changes | StoreFailure:
         if self._offset is None:
             return await self._read_snapshot()
-        changes = await self._store.read_changes(
-            self._topic, self._offset, wait_ms
-        )
+        changes: Changes | StoreFailure = StoreFailure.UNREACHABLE
+        with move_on_after(wait_ms + RESPONSE_TIMEOUT_MS):
+            changes = await self._store.read_changes(
+                self._topic, self._offset, wait_ms
+            )
         self._status.record_result(changes)
         if isinstance(changes, Changes):
             self._offset = changes.end
@@ -169,9 +177,8 @@
 ) -> None:
     """Apply updates of the configuration topic until cancelled."""
     while True:
-        update = await follower.next_update(READ_WAIT_MS)
+        update = await follower.next_update()
         if isinstance(update, StoreFailure):
-            await sleep(RETRY_MS)
             continue
         for record in update.records:
             cluster.apply_configuration(record, 'store')
@@ -200,10 +207,9 @@
     async def run(self) -> None:
         """Apply updates of the list until cancelled."""
         while True:
-            wait_ms = RECOVERY_WAIT_MS if self._expired else READ_WAIT_MS
-            update = await self._follower.next_update(wait_ms)
+            max_wait_ms = RECOVERY_WAIT_MS if self._expired else math.inf
+            update = await self._follower.next_update(max_wait_ms)
             if isinstance(update, StoreFailure):
-                await sleep(RETRY_MS)
                 continue
             for record in update.records:
                 self._apply_record(record)
--- a/src/amaranthrail/platform/settings.py
+++ b/src/amaranthrail/platform/settings.py
@@ -13,6 +13,8 @@
 
 #: Environment variable that holds the path of the settings file.
 SETTINGS_VARIABLE = 'AMARANTHRAIL_CONFIG'
+#: ``bounds.contact_ms`` where the platform states none, in ms.
+DEFAULT_CONTACT_MS = 3000.0
 
 
 def load_settings(path: Path) -> DirectSettings:
@@ -59,6 +61,9 @@
         shutdown_ms=Millis(
             _get_number(fields, 'bounds.grace_s') * MS_PER_SECOND
         ),
+        contact_ms=Millis(
+            _get_number(fields, 'bounds.contact_ms', DEFAULT_CONTACT_MS)
+        ),
         retry_limits=RetryBudgetLimits(
             ratio=_get_number(fields, 'bounds.retry_budget_ratio'),
             slack=_get_number(fields, 'bounds.retry_budget_slack'),
@@ -76,7 +81,12 @@
     return text
 
 
-def _get_number(fields: Mapping[str, str], name: str) -> float:
+def _get_number(
+    fields: Mapping[str, str], name: str, default: float | None = None
+) -> float:
+    """Return a number; a setting that is missing or empty has the default."""
+    if default is not None and not fields.get(name):
+        return default
     text = _get_text(fields, name)
     try:
         number = float(text)
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -40,6 +40,16 @@
     assert settings.shutdown_ms == Millis(8000)
 
 
+@pytest.mark.parametrize(
+    ('line', 'contact_ms'), [('', 3000), ('bounds.contact_ms=4500', 4500)]
+)
+def test_the_time_without_contact_has_a_default(
+    line: str, contact_ms: float
+) -> None:
+    settings = parse_settings(f'{SETTINGS}\n{line}')
+    assert settings.contact_ms == Millis(contact_ms)
+
+
 @pytest.mark.parametrize(
     ('line', 'setting'),
     [
@@ -49,6 +59,7 @@
         ('internal_ports=9,8', 'internal_ports'),
         ('bounds.grace_s=soon', 'bounds.grace_s'),
         ('bounds.grace_s=-1', 'bounds.grace_s'),
+        ('bounds.contact_ms=soon', 'bounds.contact_ms'),
         ('platform.address=', 'platform.address'),
     ],
 )
--- a/tests/test_sync.py
+++ b/tests/test_sync.py
@@ -25,6 +25,7 @@
     follow_configuration,
 )
 from amaranthrail.platform.program import WIRE_FORMAT
+from amaranthrail.policy.storereads import choose_wait_ms
 
 from .memorystore import MemoryStore
 from .platformbuild import configuration, upstream_record
@@ -35,6 +36,11 @@
 CONTACT_S = 3.0
 APPLY_S = 2.0
 
+
+def wait_ms() -> int:
+    return choose_wait_ms(CONTACT_S * 1000)
+
+
 _ReadResult = Snapshot | Changes | StoreFailure
 
 
@@ -90,7 +96,7 @@
         cluster = ClusterState(clock, WIRE_FORMAT)
         status = StoreStatus(clock)
         store = ScriptedStore(results)
-        follower = TopicFollower(store, Topic.UPSTREAMS, status)
+        follower = TopicFollower(store, Topic.UPSTREAMS, status, wait_ms)
         sync = UpstreamSync(follower, cluster, status)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(sync.run)
@@ -205,7 +211,7 @@
         store = MemoryStore()
         store.put('config', configuration(1))
         status = StoreStatus(clock)
-        follower = TopicFollower(store, Topic.CONFIGURATION, status)
+        follower = TopicFollower(store, Topic.CONFIGURATION, status, wait_ms)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(follow_configuration, follower, cluster)
             await trio.sleep(silenced_at_s)
