Ask each entry that has an overdue version until one responds

Cause: one way with no time for a failure. The first report was kept with one host; after 800 ms, up to 300 ms between turns and a sync of up to 800 ms it was dropped whether or not the sync had worked, and the next report began the same wait anew: 3 s and more, while a change must be in force within 2 s.

Change: direct/versionreports keeps when a version was first reported and all entries that have it. An overdue version (500 ms) is requested from one of them at a time, checked each 100 ms, with 400 ms for each request; an entry that does not deliver is passed over until its next report.

Ruled out: asking all reporters at once (bytes between failure domains are billed).

--- a/src/amaranthrail/direct/clusterstate.py
+++ b/src/amaranthrail/direct/clusterstate.py
@@ -10,21 +10,11 @@
 from .deployment import CallerLimits, Deployment, Service
 from .ports import StoreRecord, WireFormat
 from .upstreams import Directory
+from .versionreports import NewerVersion, VersionReports
 
 _log = part_logger('world')
 
 
-class NewerVersion(msgspec.Struct, frozen=True):
-    """Name an entry that reported a later configuration than this one's.
-
-    ``first_seen_at`` is the clock time in ms of its first report.
-    """
-
-    version: int
-    host: str
-    first_seen_at: float
-
-
 class ConfigurationView(msgspec.Struct, frozen=True):
     """Describe how recent the configuration in force is.
 
@@ -51,7 +41,7 @@
         self._wire_format = wire_format
         self._deployment: Deployment | None = None
         self._clock = clock
-        self._newer_version: NewerVersion | None = None
+        self._version_reports = VersionReports(clock)
         self._read_at: float | None = None
         self._directory = Directory(clock)
 
@@ -75,10 +65,7 @@
     @property
     def newer_version(self) -> NewerVersion | None:
         """Return the reported later version, None once it is in force."""
-        newer = self._newer_version
-        if newer is None or newer.version <= self.version:
-            return None
-        return newer
+        return self._version_reports.oldest_report()
 
     @property
     def configuration_view(self) -> ConfigurationView:
@@ -114,16 +101,16 @@
         return self._deployment is not None and len(self._directory) > 0
 
     def record_peer_version(self, version: int, host: str) -> None:
-        """Record another entry's configuration version if it is later.
+        """Record another entry's configuration version if it is later."""
+        if version > self.version:
+            self._version_reports.record(version, host)
 
-        The first report is kept until its version is in force or it is cleared.
-        """
-        if version > self.version and self.newer_version is None:
-            self._newer_version = NewerVersion(version, host, self._clock.now())
+    def drop_version_report(self, host: str) -> None:
+        """Drop the report of an entry that did not send its version.
 
-    def clear_newer_version(self) -> None:
-        """Drop the reported later version; the next report sets it again."""
-        self._newer_version = None
+        Its version stays overdue, and its next report names it again.
+        """
+        self._version_reports.drop_host(host)
 
     def record_configuration_read(self) -> None:
         """Record that the store has just answered a read of its topic."""
@@ -152,6 +139,7 @@
             return False
         replaced = self.configuration_view
         self._deployment = deployment
+        self._version_reports.drop_until(deployment.version)
         _log.info(
             'configuration in force',
             version=deployment.version,
--- a/src/amaranthrail/direct/peers.py
+++ b/src/amaranthrail/direct/peers.py
@@ -14,7 +14,7 @@
 )
 from ..clock import move_on_after, sleep
 from ..logs import part_logger
-from .clusterstate import ClusterState, NewerVersion
+from .clusterstate import ClusterState
 from .deployment import UpstreamRecord
 from .members import Members
 from .peermessages import (
@@ -29,21 +29,24 @@
 from .ports import Snapshot, StorePort, StoreRecord, Topic
 from .settings import DirectSettings
 from .sync import StoreStatus
+from .versionreports import NewerVersion
 
-#: Interval between sync requests, in ms: updates reach 5 entries within a
-#: second.
+#: Interval between sync requests while the store fails, in ms: updates reach 5
+#: entries within a second.
 SYNC_INTERVAL_MS = 300.0
-#: Timeout of one sync request, in ms.
-SYNC_TIMEOUT_MS = 800.0
+#: Interval between checks for an overdue version, in ms.
+OVERDUE_CHECK_MS = 100.0
+#: Timeout of one sync request, in ms: one may fail and the next one bring the
+#: configuration within the 2,000 in which it must be in force.
+SYNC_TIMEOUT_MS = 400.0
 #: Longest interval between reads of the store's list of entries, in ms; load
 #: reports name entries too, and calls to the store are billed.
 LIST_INTERVAL_MS = 30_000.0
 #: Delay until a failed write of this entry's own record is retried, in ms.
 REGISTER_RETRY_MS = 2000.0
 #: Time after which an entry that reported a later configuration gets a sync
-#: request, in ms: the store delivers the configuration within 400, and it must
-#: be in force within 2,000.
-OVERDUE_MS = 800.0
+#: request, in ms: the store delivers the configuration within 400.
+OVERDUE_MS = 500.0
 _SYNC_ERRORS = (*STREAM_ERRORS, msgspec.DecodeError)
 _log = part_logger('peers')
 
@@ -126,14 +129,24 @@
             _log.info('record of a lost entry dropped', peer=host)
 
     async def _request_updates(self) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._request_overdue_version)
+            while True:
+                await sleep(SYNC_INTERVAL_MS)
+                if self._needs_peers():
+                    await self._sync_with_any()
+
+    async def _request_overdue_version(self) -> None:
+        """Request a version from each entry that has it until one responds."""
         while True:
-            await sleep(SYNC_INTERVAL_MS)
+            await sleep(OVERDUE_CHECK_MS)
             newer = self._cluster.newer_version
-            if newer is not None and self._is_overdue(newer):
-                await self._sync_with(newer.host)
-                self._cluster.clear_newer_version()
-            elif self._needs_peers():
-                await self._sync_with_any()
+            if newer is None or not newer.hosts or not self._is_overdue(newer):
+                continue
+            host = self._random.choice(newer.hosts)
+            await self._sync_with(host)
+            if self._cluster.version < newer.version:
+                self._cluster.drop_version_report(host)
 
     def _needs_peers(self) -> bool:
         """Tell whether the store fails or this entry's state is incomplete."""
