--- a/src/amaranthrail/platform/store.py
+++ b/src/amaranthrail/platform/store.py
@@ -63,6 +63,7 @@
     async def read_snapshot(self, topic: Topic) -> Snapshot | StoreFailure:
         """Return the newest record of each key; see StorePort."""
         records: list[StoreRecord] = []
+        end: int | None = None
         base = f'/amaranthrail/log-newest?topic={_TOPIC_NAMES[topic]}&part=0'
         target = base
         while True:
@@ -74,8 +75,11 @@
                 records.extend(_read_item(record) for record in page.records)
             except (msgspec.DecodeError, ValueError) as error:
                 return _malformed(topic, error)
+            # Pages are read one after another: what is written meanwhile is
+            # read again from the end of the first.
+            end = page.end_offset if end is None else end
             if not page.has_more or not page.records:
-                return Snapshot(tuple(records), page.end_offset)
+                return Snapshot(tuple(records), end)
             target = f'{base}&after={page.records[-1].key}'
 
     async def read_changes(
--- a/standins/keyedlog.py
+++ b/standins/keyedlog.py
@@ -4,6 +4,7 @@
 
 import base64
 import struct
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -18,6 +19,8 @@
 _HTTP_GONE = 410
 _HTTP_TOO_MANY = 429
 _HTTP_UNAVAILABLE = 503
+#: Most records in one page of a snapshot.
+_MAX_PAGE_RECORDS = 500
 
 
 class StoreFault(Enum):
@@ -63,13 +66,19 @@
 
 
 class KeyedLog:
-    """Serve topics over HTTP; ``fault`` injects a failure into every call."""
+    """Serve topics over HTTP; ``fault`` injects a failure into every call.
+
+    A snapshot comes in pages of ``page_size`` records; ``before_page`` is
+    called before each page but the first.
+    """
 
     def __init__(self) -> None:
         """Start with no topics and no fault."""
         self._topics: dict[str, Topic] = {}
         self.fault = StoreFault.NONE
         self.calls = 0
+        self.page_size = _MAX_PAGE_RECORDS
+        self.before_page: Callable[[], None] | None = None
 
     def topic(self, name: str) -> Topic:
         """Return a topic; create it if it does not exist."""
@@ -95,20 +104,25 @@
         operation = request.path.rpartition('/')[2]
         topic = self.topic(request.query['topic'])
         if operation == 'log-newest':
-            await self._send_latest(topic, reply)
+            await self._send_latest(topic, request.query.get('after'), reply)
         elif operation == 'log-append':
             await self._append(topic, request.body, reply)
         else:
             await self._send_records(topic, request.query, reply)
 
-    async def _send_latest(self, topic: Topic, reply: ResponseWriter) -> None:
+    async def _send_latest(
+        self, topic: Topic, after: str | None, reply: ResponseWriter
+    ) -> None:
+        if after is not None and self.before_page is not None:
+            self.before_page()
         latest = [
             {'key': key, 'value': base64.b64encode(payload).decode()}
-            for key, payload in topic.latest.items()
+            for key, payload in sorted(topic.latest.items())
+            if after is None or key > after
         ]
         page = {
-            'items': latest,
-            'has_more': False,
+            'items': latest[: self.page_size],
+            'has_more': len(latest) > self.page_size,
             'end_offset': topic.end_offset,
         }
         await send_json(reply, _HTTP_OK, page)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -12,9 +12,10 @@
     ServerState,
     serve_connection,
 )
-from amaranthrail.direct.ports import Snapshot, StoreFailure, Topic
+from amaranthrail.direct.ports import Changes, Snapshot, StoreFailure, Topic
 from amaranthrail.platform.store import PlatformStore
 from standins.keyedlog import KeyedLog
+from standins.platformfleet import start_server
 
 from .platformbuild import configuration
 
@@ -68,3 +69,34 @@
         assert isinstance(retried, Snapshot)
 
     trio.run(main)
+
+
+def test_a_record_written_between_two_pages_is_read() -> None:
+    """Guards against a record that no read of the topic returns.
+
+    The record of a key on the first page was replaced while the second page
+    was read.
+    """
+
+    async def main() -> None:
+        log = KeyedLog()
+        topic = log.topic('keyed.servers')
+        for name in ('i-1', 'i-2'):
+            topic.put(name, b'old')
+        log.page_size = 1
+        log.before_page = lambda: topic.put('i-1', b'new')
+        async with trio.open_nursery() as nursery:
+            address = await start_server(nursery, log.handle)
+            store = PlatformStore(address)
+            snapshot = await store.read_snapshot(Topic.UPSTREAMS)
+            assert isinstance(snapshot, Snapshot)
+            changes = await store.read_changes(Topic.UPSTREAMS, snapshot.end, 0)
+            assert isinstance(changes, Changes)
+            nursery.cancel_scope.cancel()
+        latest = {
+            record.key: record.payload
+            for record in (*snapshot.records, *changes.records)
+        }
+        assert latest == {'i-1': b'new', 'i-2': b'old'}
+
+    trio.run(main)
