Log the shared parts of a prompt and the events sent before a retry

Change: Prompt-Prefix is decoded in platform/headers; lines on a call name the parts that other requests may have too, and a retry the events that the caller has received by then. No decision changes.

--- a/src/amaranthrail/direct/calllog.py
+++ b/src/amaranthrail/direct/calllog.py
@@ -91,8 +91,12 @@
         call: Call,
         upstream: UpstreamRecord,
         attempt: BufferedResponse | Failure,
+        events: int,
     ) -> None:
-        """Record a retry and the failed attempt that causes it."""
+        """Record a retry and the failed attempt that causes it.
+
+        ``events`` counts those that the caller has received so far.
+        """
         self._metrics.count('repeats')
         if not self._may_log_problem():
             return
@@ -106,6 +110,7 @@
             upstream=upstream.name,
             upstream_beat=upstream.sequence,
             cause=cause,
+            events=events,
         )
 
     def record_rejection(
@@ -191,4 +196,5 @@
             for choice in call.choices
         ],
         'sent': call.delivered_attempts,
+        'parts': list(call.metadata.shared_parts),
     }
--- a/src/amaranthrail/direct/forward.py
+++ b/src/amaranthrail/direct/forward.py
@@ -139,7 +139,9 @@
             call.may_have_run = ran_before or _may_have_run(attempt)
             if not self._should_retry(call, attempt):
                 return self._final_result(call, attempt)
-            self._call_log.record_retry(call, upstream.record, attempt)
+            self._call_log.record_retry(
+                call, upstream.record, attempt, relay.events
+            )
             failed = attempt
 
     def _choose_upstream(self, call: Call) -> Upstream | None:
--- a/src/amaranthrail/direct/ports.py
+++ b/src/amaranthrail/direct/ports.py
@@ -10,7 +10,7 @@
 
 from ..adapters.httpserver import HttpRequest
 from ..outcomes import Refusal
-from ..types import HeaderList, Millis, OrganisationName
+from ..types import HeaderList, Millis, OrganisationName, PromptPart
 from .deployment import Deployment, UpstreamRecord
 
 
@@ -90,6 +90,8 @@
     and a response must state it. ``timeout_ms`` is the time left until the
     caller's deadline, ``expected_tokens`` the caller's estimate of the
     response's length, often far off, and 0 where there is none.
+    ``shared_parts`` are the parts of its prompt that other requests may have
+    too, in order.
     """
 
     attempt_id: str
@@ -97,6 +99,7 @@
     timeout_ms: Millis | None
     last_event_id: str | None
     expected_tokens: int = 0
+    shared_parts: tuple[PromptPart, ...] = ()
 
 
 class ReportedLoad(msgspec.Struct, frozen=True):
--- a/src/amaranthrail/platform/headers.py
+++ b/src/amaranthrail/platform/headers.py
@@ -11,7 +11,7 @@
     ResponseMetadata,
 )
 from ..outcomes import Refusal
-from ..types import HeaderList, Millis
+from ..types import HeaderList, Millis, PromptPart
 
 _ATTEMPT_ID = 'attempt-id'
 _DEADLINE_REMAINING = 'deadline-remaining-ms'
@@ -62,6 +62,7 @@
         timeout_ms=_parse_millis(request.header(_DEADLINE_REMAINING)),
         last_event_id=request.header(_LAST_EVENT_ID),
         expected_tokens=_parse_count(request.header('length-hint') or ''),
+        shared_parts=_parse_shared_parts(request.header('prompt-prefix') or ''),
     )
 
 
@@ -148,6 +149,12 @@
     return int(text) if text.strip().isdecimal() else 0
 
 
+def _parse_shared_parts(text: str) -> tuple[PromptPart, ...]:
+    """Return the ids of ID:TOKENS entries but the last, the request's own."""
+    parts = text.split(',')[:-1]
+    return tuple(PromptPart(part.partition(':')[0].strip()) for part in parts)
+
+
 def _parse_load(text: str | None) -> ReportedLoad | None:
     numbers = [_parse_count(part) for part in (text or '').split(',')]
     if len(numbers) != _LOAD_NUMBERS:
--- a/src/amaranthrail/types.py
+++ b/src/amaranthrail/types.py
@@ -10,6 +10,8 @@
 DomainName = NewType('DomainName', str)
 GroupName = NewType('GroupName', str)
 ProcessName = NewType('ProcessName', str)
+#: Identity of one part of a prompt, the same in each request that has it.
+PromptPart = NewType('PromptPart', str)
 
 #: Random identity of one run of a process; a restart creates a new one.
 Incarnation = NewType('Incarnation', str)
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -277,3 +277,20 @@
     assert deployment.urgency_rank(engine, 5) == 2
     assert deployment.urgency_rank(engine, 1) == 0
     assert deployment.urgency_rank(ServiceName('unknown'), 4) == 0
+
+
+@pytest.mark.parametrize(
+    ('text', 'shared_parts'),
+    [
+        ('', ()),
+        ('91bd3f06:410', ()),
+        ('5c1e07a2:800, 91bd3f06:410,e4402b7d:250', ('5c1e07a2', '91bd3f06')),
+        ('5c1e07a2,e4402b7d', ('5c1e07a2',)),
+    ],
+)
+def test_the_shared_parts_of_a_prompt_are_all_but_the_last(
+    text: str, shared_parts: tuple[str, ...]
+) -> None:
+    prompt = request(headers=(('prompt-prefix', text),))
+    metadata = headers.read_request_metadata(prompt)
+    assert metadata.shared_parts == shared_parts
