--- a/tests/platformbench.py
+++ b/tests/platformbench.py
@@ -6,11 +6,19 @@
 import os
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
+from functools import partial
 from typing import Any
 
 import trio
 
 from amaranthrail.adapters.httpclient import Address, HttpClient, HttpResponse
+from amaranthrail.adapters.httpserver import (
+    HttpRequest,
+    ResponseWriter,
+    ServerLimits,
+    ServerState,
+    serve_connection,
+)
 from amaranthrail.direct.service import DirectEntry
 from amaranthrail.platform.program import WIRE_FORMAT
 from amaranthrail.platform.ranks import HttpRank
@@ -22,6 +30,9 @@
 
 from .platformbuild import SETTINGS, configuration, upstream_record
 
+#: Part of a prompt on which engines of these tests end.
+DEADLY_PART = 'deadbeef'
+_MAX_BODY_BYTES = 1_000_000
 _start_times = itertools.count(1000)
 _host_numbers = itertools.count()
 #: Values used of each octet, of 256.
@@ -58,6 +69,16 @@
         self.announce(name, str(address), service=service, **changes)
         return replica
 
+    async def add_engine_with_deadly_part(
+        self, name: str, down_s: float
+    ) -> DeadlyEngine:
+        """Add an engine that ends as it begins an answer on DEADLY_PART."""
+        engine = DeadlyEngine(name, down_s)
+        address = await self._nursery.start(engine.run)
+        self.replicas[name] = engine.replica
+        self.announce(name, address, service='engine')
+        return engine
+
     def announce(self, name: str, address: str, **changes: Any) -> None:
         fields = {'born': next(_start_times), **changes}
         record = upstream_record(address, **fields)
@@ -82,6 +103,56 @@
         return RunningEntry(entry, settings.callers)
 
 
+class DeadlyEngine:
+    """Serve a replica that ends with all connections, and starts again.
+
+    ``deadly_calls`` counts the calls with DEADLY_PART that reached it.
+    """
+
+    def __init__(self, name: str, down_s: float) -> None:
+        """Stay down for ``down_s`` after each end."""
+        self.replica = Replica(name, pause_s=0.02)
+        self.deadly_calls = 0
+        self.crashes = 0
+        self.is_up = False
+        self._down_s = down_s
+        self._running = trio.CancelScope()
+
+    async def run(
+        self,
+        task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until cancelled, always on the same port."""
+        port = 0
+        while True:
+            listeners = await trio.open_tcp_listeners(port, host='127.0.0.1')
+            port = listeners[0].socket.getsockname()[1]
+            if not self.crashes:
+                task_status.started(f'127.0.0.1:{port}')
+            state = ServerState(lambda: ServerLimits(_MAX_BODY_BYTES))
+            serve = partial(serve_connection, handler=self._handle, state=state)
+            self.is_up = True
+            with trio.CancelScope() as running:
+                self._running = running
+                await trio.serve_listeners(serve, listeners)
+            self.is_up = False
+            for listener in listeners:
+                await listener.aclose()
+            await trio.sleep(self._down_s)
+
+    async def _handle(
+        self, request: HttpRequest, reply: ResponseWriter
+    ) -> None:
+        if DEADLY_PART not in (request.header('prompt-prefix') or ''):
+            await self.replica.handle(request, reply)
+            return
+        self.deadly_calls += 1
+        await trio.sleep(0.02)
+        self.crashes += 1
+        self._running.cancel()
+        await trio.sleep_forever()
+
+
 class RunningEntry:
     """Send requests to one entry as clients do."""
 
