Keep reports short after a crash, and suspects before other crashes

Each report carried all parts of all crashes for more than an hour (up to 5 KB ten times a second), and a loss of a whole failure domain, more than 16 upstreams at once, displaced the crash that a deadly part had caused.

Change: five seconds after a crash only the parts that no later answer has cleared are kept and reported; an entry that missed such an answer is told when it reports the part. Where there are too many crashes, one without a suspect is dropped first, and of many parts those without an answer are kept. A call whose parts no crash has is judged without further work.

Evidence: of three new tests in test_crashes two failed on the code before (it kept cleared parts, and dropped the oldest crash); the third, an entry that missed an answer, guards what this change could have broken.

--- a/src/amaranthrail/adapters/httpclient.py
+++ b/src/amaranthrail/adapters/httpclient.py
@@ -218,7 +218,7 @@
         """Return the address of the server."""
         return self._address
 
-    async def is_refused(self) -> bool:
+    async def refuses_connections(self) -> bool:
         """Tell whether nothing listens at the address any more.
 
         False where a connection opens or where nobody responds.
--- a/src/amaranthrail/direct/clusterstate.py
+++ b/src/amaranthrail/direct/clusterstate.py
@@ -137,15 +137,15 @@
             return False
         if deployment.version <= self.version:
             return False
-        replaced = self.configuration_view
+        earlier_view = self.configuration_view
         self._deployment = deployment
         self._version_reports.drop_until(deployment.version)
         _log.info(
             'configuration in force',
             version=deployment.version,
-            earlier=replaced.version,
-            reported_ms=replaced.reported_ms,
-            read_age_ms=replaced.read_age_ms,
+            earlier=earlier_view.version,
+            reported_ms=earlier_view.reported_ms,
+            read_age_ms=earlier_view.read_age_ms,
             routes=len(deployment.routes),
             source=source,
         )
--- a/src/amaranthrail/direct/crashes.py
+++ b/src/amaranthrail/direct/crashes.py
@@ -28,11 +28,16 @@
 #: Most crashes that are remembered, the latest, and most parts of each.
 MAX_CRASHES = 16
 MAX_PARTS_PER_CRASH = 24
+#: Age from which a crash keeps only the parts that no later answer has cleared,
+#: in ms: by then all entries have reported their answers.
+SETTLE_MS = 5000.0
 #: Time for which a crash is remembered, in ms: the longest hold and some more.
 CRASH_RETENTION_MS = 4_000_000.0
 #: Time after the last report of another entry's trial from which it counts as
 #: over, in ms; single reports get lost.
 TRIAL_EXPIRY_MS = 450.0
+#: Source of a crash that this entry has seen itself, in the log.
+OWN_SOURCE = 'own'
 _log = part_logger('crashes')
 
 
@@ -84,14 +89,14 @@
     ) -> None:
         """Record a crash and the parts of a call that had no answer yet."""
         key = _CrashKey(upstream.service, upstream.name, upstream.started_at)
-        self._add_crash(key, self._clock.now(), frozenset(parts), 'own')
+        self._add_crash(key, self._clock.now(), frozenset(parts), OWN_SOURCE)
         self._announce()
 
     def judge(
         self, service: ServiceName, parts: tuple[PromptPart, ...]
     ) -> Verdict:
         """Return how a call with these parts is admitted; see judge_prompt."""
-        if not self._crashes or not parts:
+        if not self._has_candidate(service, parts):
             return Verdict(Admission.SEND)
         now = self._clock.now()
         others_try = now < self._other_trials_until
@@ -116,24 +121,26 @@
     def evidence(self) -> CrashEvidence:
         """Return what other entries need to know, for a report."""
         now = self._clock.now()
-        self._drop_old_crashes(now)
-        return CrashEvidence(
-            [
-                CrashReport(
-                    key.service,
-                    key.upstream,
-                    key.started_at,
-                    round(now - crash.at),
-                    sorted(crash.parts),
-                )
-                for key, crash in self._crashes.items()
-            ],
-            [
-                AnswerReport(key.service, key.part, round(now - at))
-                for key, at in self._answers_on_candidates(self._answered_at)
-            ],
-            sorted(self._own_trials),
-        )
+        # Before crashes are settled: an entry that has just reported a part
+        # lacks the answer that clears it.
+        answers = [
+            AnswerReport(
+                key.service, key.part, round(now - self._answered_at[key])
+            )
+            for key in self._candidates() & self._answered_at.keys()
+        ]
+        self._settle_crashes(now)
+        crashes = [
+            CrashReport(
+                key.service,
+                key.upstream,
+                key.started_at,
+                round(now - crash.at),
+                sorted(crash.parts),
+            )
+            for key, crash in self._crashes.items()
+        ]
+        return CrashEvidence(crashes, answers, sorted(self._own_trials))
 
     def apply_evidence(self, evidence: CrashEvidence, host: str) -> None:
         """Add what another entry knows.
@@ -158,8 +165,6 @@
             )
         if evidence.trials:
             self._other_trials_until = now + TRIAL_EXPIRY_MS
-        if not self._crashes:
-            self._reported_answers.clear()
 
     def _add_crash(
         self,
@@ -174,19 +179,50 @@
         if known is not None:
             at = known.at
             parts |= known.parts
-        kept = frozenset(sorted(parts)[:MAX_PARTS_PER_CRASH])
+        kept = self._choose_parts(key.service, parts)
         self._crashes[key] = Crash(at, kept)
-        while len(self._crashes) > MAX_CRASHES:
-            self._crashes.popitem(last=False)
-        suspicions = self._find_suspects(key.service)
-        _log.warning(
-            'upstream crashed before an answer began',
-            upstream=key.upstream,
-            started_at=key.started_at,
-            age_ms=int(self._clock.now() - at),
-            source=source,
-            parts=sorted(kept),
-            suspects=sorted(suspicions),
+        if len(self._crashes) > MAX_CRASHES:
+            self._drop_least_telling_crash()
+        if known is None or source == OWN_SOURCE:
+            _log.warning(
+                'upstream crashed before an answer began',
+                upstream=key.upstream,
+                started_at=key.started_at,
+                age_ms=int(self._clock.now() - at),
+                source=source,
+                parts=sorted(kept),
+                suspects=sorted(self._find_suspects(key.service)),
+            )
+
+    def _choose_parts(
+        self, service: ServiceName, parts: frozenset[PromptPart]
+    ) -> frozenset[PromptPart]:
+        """Return the parts that are kept, those without answers first."""
+        by_answer = sorted(
+            parts,
+            key=lambda part: (
+                self._find_answer(_AnswerKey(service, part)) is not None,
+                part,
+            ),
+        )
+        return frozenset(by_answer[:MAX_PARTS_PER_CRASH])
+
+    def _drop_least_telling_crash(self) -> None:
+        """Drop the oldest crash without a suspect, or the oldest of all."""
+        for key, crash in self._crashes.items():
+            if crash.parts.isdisjoint(self._find_suspects(key.service)):
+                del self._crashes[key]
+                return
+        self._crashes.popitem(last=False)
+
+    def _has_candidate(
+        self, service: ServiceName, parts: tuple[PromptPart, ...]
+    ) -> bool:
+        return any(
+            part in crash.parts
+            for key, crash in self._crashes.items()
+            if key.service == service
+            for part in parts
         )
 
     def _find_suspects(
@@ -198,31 +234,59 @@
             if key.service == service
         ]
         answered_at: dict[PromptPart, float] = {}
-        for answers in (self._answered_at, self._reported_answers):
-            for key, at in self._answers_on_candidates(answers):
-                if key.service == service:
-                    known_at = answered_at.get(key.part, at)
-                    answered_at[key.part] = max(known_at, at)
+        for key in self._candidates():
+            at = self._find_answer(key)
+            if key.service == service and at is not None:
+                answered_at[key.part] = at
         return find_suspects(crashes, answered_at)
 
-    def _answers_on_candidates(
-        self, answers: dict[_AnswerKey, float]
-    ) -> Iterator[tuple[_AnswerKey, float]]:
-        """Yield the latest answers on parts that some crash has."""
-        candidates = {
+    def _find_answer(self, key: _AnswerKey) -> float | None:
+        """Return when the latest answer on a part began at any entry."""
+        times = [
+            answers[key]
+            for answers in (self._answered_at, self._reported_answers)
+            if key in answers
+        ]
+        return max(times, default=None)
+
+    def _candidates(self) -> set[_AnswerKey]:
+        """Return the parts that some crash has."""
+        return {
             _AnswerKey(key.service, part)
             for key, crash in self._crashes.items()
             for part in crash.parts
         }
-        for key in candidates:
-            at = answers.get(key)
-            if at is not None:
-                yield key, at
 
-    def _drop_old_crashes(self, now: float) -> None:
+    def _settle_crashes(self, now: float) -> None:
+        """Drop parts that later answers have cleared, and old crashes.
+
+        Reports stay short; an entry that still has such a part reports it, and
+        the answer is reported to it again.
+        """
         for key, crash in list(self._crashes.items()):
-            if now - crash.at > CRASH_RETENTION_MS:
+            age_ms = now - crash.at
+            if age_ms < SETTLE_MS:
+                continue
+            left = frozenset(
+                part
+                for part in crash.parts
+                if not self._is_answered_after(key.service, part, crash.at)
+            )
+            self._crashes[key] = Crash(crash.at, left)
+            if not left or age_ms > CRASH_RETENTION_MS:
                 del self._crashes[key]
+        candidates = self._candidates()
+        self._reported_answers = {
+            answer_key: at
+            for answer_key, at in self._reported_answers.items()
+            if answer_key in candidates
+        }
+
+    def _is_answered_after(
+        self, service: ServiceName, part: PromptPart, at: float
+    ) -> bool:
+        answered_at = self._find_answer(_AnswerKey(service, part))
+        return answered_at is not None and answered_at > at
 
     def _announce(self) -> None:
         """Have the next report sent at once."""
--- a/src/amaranthrail/direct/promptguard.py
+++ b/src/amaranthrail/direct/promptguard.py
@@ -71,5 +71,5 @@
             return
         if record.state is not UpstreamState.READY:
             return
-        if await upstream.client.is_refused():
+        if await upstream.client.refuses_connections():
             self._crashes.record_crash(record, call.metadata.shared_parts)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -8,6 +8,7 @@
     MAX_ANSWERED_PARTS,
     MAX_CRASHES,
     MAX_PARTS_PER_CRASH,
+    SETTLE_MS,
     TRIAL_EXPIRY_MS,
     CrashRecords,
 )
@@ -157,3 +158,42 @@
     time.advance_ms(CRASH_RETENTION_MS - MAX_HOLD_MS + 1)
     assert not entry.evidence().crashes
     assert admission(entry, DEADLY) is Admission.SEND
+
+
+def test_crashes_of_a_whole_domain_do_not_displace_a_suspect() -> None:
+    entry = CrashRecords(Clock(FakeTime()))
+    entry.record_answer(ENGINE, [FIRST])
+    entry.record_crash(upstream(), [DEADLY])
+    for number in range(2 * MAX_CRASHES):
+        entry.record_crash(upstream(f'i-domain-{number}'), [FIRST])
+    assert admission(entry, DEADLY) is Admission.HOLD
+
+
+def test_reports_carry_only_suspects_once_all_entries_have_answered() -> None:
+    """Guards against kilobytes in each report for an hour after a crash."""
+    time = FakeTime()
+    entries = [CrashRecords(Clock(time)) for _ in range(2)]
+    entries[0].record_crash(upstream(), [FIRST, DEADLY])
+    entries[1].record_crash(upstream('i-2'), [FIRST])
+    time.advance_ms(SETTLE_MS)
+    entries[1].record_answer(ENGINE, [FIRST])
+    for _ in range(3):
+        exchange(*entries)
+    for entry in entries:
+        (crash,) = entry.evidence().crashes
+        assert crash.parts == [DEADLY]
+        assert not entry.evidence().answers
+
+
+def test_an_entry_that_missed_an_answer_learns_it_later() -> None:
+    time = FakeTime()
+    entries = [CrashRecords(Clock(time)) for _ in range(2)]
+    entries[0].record_crash(upstream(), [FIRST, DEADLY])
+    exchange(*entries)
+    entries[1].record_answer(ENGINE, [FIRST])
+    time.advance_ms(SETTLE_MS)
+    # The second entry has settled the crash before the first reaches it again.
+    entries[1].evidence()
+    for _ in range(2):
+        exchange(*entries)
+    assert admission(entries[0], FIRST) is Admission.SEND
