--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -38,6 +38,8 @@
 from .schedule import Fault, ScheduledFault
 
 _HTTP_OK = 200
+#: Last lines of an entry's log that are printed where a check of it fails.
+LOG_LINES = 20
 #: Delay of a slow path, in ms: longer than the pause of most streams.
 PATH_DELAY_MS = 150.0
 #: Time after which a killed entry is restarted, in seconds.
@@ -160,6 +162,11 @@
         except HttpError as error:
             sys.stderr.write(f'{entry.host} did not respond: {error}\n')
             return False
+        if response.status != _HTTP_OK:
+            sys.stderr.write(
+                f'{entry.host} responded to {path} with {response.status}; '
+                f'the end of its log:\n{_last_lines(entry.log_text())}\n'
+            )
         return response.status == _HTTP_OK
 
     async def _add_replica_host(self, service: str) -> None:
@@ -399,3 +406,7 @@
 
 def _address(relay: Relay) -> Address:
     return parse_address(relay.address)
+
+
+def _last_lines(text: str) -> str:
+    return '\n'.join(text.splitlines()[-LOG_LINES:])
