Give a store that responds late all of a read's time after one was lost

Cause: each read was given up 700 ms after the time for which the store may hold it, and repeated just as it was, however often that had happened.

Evidence: test_an_entry_starts_with_a_store_that_responds_late (1 s) failed on: seven seconds of timed out calls, entry not ready.

Change: after a read without response the store is not asked to hold the next one, which may take as long in all as the lost one.

Ruled out: a longer timeout for all reads (breaks that test's bound); growing timeouts (longer than contact_ms after an outage).

Conclusion: reproduced by a test and fixed. The two doubles of the store in the tests have the new arguments.

--- a/src/amaranthrail/direct/ports.py
+++ b/src/amaranthrail/direct/ports.py
@@ -10,6 +10,7 @@
 
 from ..adapters.httpserver import HttpRequest
 from ..outcomes import Refusal
+from ..policy.storereads import RESPONSE_TIMEOUT_MS, ReadTimes
 from ..types import HeaderList, Millis, OrganisationName, PromptPart
 from .deployment import Deployment, UpstreamRecord
 
@@ -55,20 +56,24 @@
 class StorePort(Protocol):
     """Read and write the keyed topics of the platform's store."""
 
-    async def read_snapshot(self, topic: Topic) -> Snapshot | StoreFailure:
-        """Return the newest record of each key and the end offset."""
+    async def read_snapshot(
+        self, topic: Topic, timeout_ms: int = RESPONSE_TIMEOUT_MS
+    ) -> Snapshot | StoreFailure:
+        """Return the newest record of each key and the end offset.
+
+        A response that takes longer than ``timeout_ms`` is UNREACHABLE.
+        """
 
     async def read_changes(
         self,
         topic: Topic,
         offset: int,
-        wait_ms: int,
+        times: ReadTimes,
     ) -> Changes | StoreFailure:
         """Return the records from an offset on.
 
-        The store holds the read up to ``wait_ms`` until there is one. As in
-        the other calls, a response that is lost is UNREACHABLE after
-        RESPONSE_TIMEOUT_MS more.
+        The store holds the read until there is one, or until its time to wait
+        is over. A response that is lost is UNREACHABLE.
         """
 
     async def write(
@@ -79,6 +84,7 @@
     ) -> StoreFailure | None:
         """Append a record; after a failure it may have been appended or not.
 
+        A response that takes longer than RESPONSE_TIMEOUT_MS is UNREACHABLE.
         An empty payload removes the key.
         """
 
--- a/src/amaranthrail/direct/sync.py
+++ b/src/amaranthrail/direct/sync.py
@@ -7,6 +7,7 @@
 
 from ..clock import Clock, sleep
 from ..logs import part_logger
+from ..policy.storereads import ReadTimes, choose_read_times
 from .clusterstate import ClusterState
 from .ports import (
     Changes,
@@ -104,6 +105,7 @@
         self._wait_ms = wait_ms
         self._clock = status.clock
         self._next_read_at = 0.0
+        self._has_failed = False
         self._offset: int | None = None
         self._highest_end = 0
 
@@ -118,7 +120,11 @@
         """
         await sleep(self._next_read_at - self._clock.now())
         started_at = self._clock.now()
-        update = await self._read_update(int(min(max_wait_ms, self._wait_ms())))
+        times = choose_read_times(
+            int(min(max_wait_ms, self._wait_ms())), has_failed=self._has_failed
+        )
+        update = await self._read_update(times)
+        self._has_failed = update is StoreFailure.UNREACHABLE
         interval_ms = READ_INTERVAL_MS
         if isinstance(update, StoreFailure):
             interval_ms = RETRY_MS
@@ -127,12 +133,12 @@
 
     async def _read_update(
         self,
-        wait_ms: int,
+        times: ReadTimes,
     ) -> Snapshot | Changes | StoreFailure:
         if self._offset is None:
-            return await self._read_snapshot()
+            return await self._read_snapshot(times)
         changes = await self._store.read_changes(
-            self._topic, self._offset, wait_ms
+            self._topic, self._offset, times
         )
         self._status.record_result(changes)
         if isinstance(changes, Changes):
@@ -140,11 +146,13 @@
             self._highest_end = max(self._highest_end, changes.end)
         elif changes is StoreFailure.HISTORY_GONE:
             self._offset = None
-            return await self._read_snapshot()
+            return await self._read_snapshot(times)
         return changes
 
-    async def _read_snapshot(self) -> Snapshot | StoreFailure:
-        snapshot = await self._store.read_snapshot(self._topic)
+    async def _read_snapshot(self, times: ReadTimes) -> Snapshot | StoreFailure:
+        snapshot = await self._store.read_snapshot(
+            self._topic, times.timeout_ms
+        )
         self._status.record_result(snapshot)
         if not isinstance(snapshot, Snapshot):
             return snapshot
--- a/src/amaranthrail/platform/store.py
+++ b/src/amaranthrail/platform/store.py
@@ -19,7 +19,7 @@
 )
 from ..exceptions import HttpError
 from ..logs import part_logger
-from ..policy.storereads import RESPONSE_TIMEOUT_MS
+from ..policy.storereads import RESPONSE_TIMEOUT_MS, ReadTimes
 from ..types import Millis
 
 _MAX_READ_KB = 1024
@@ -60,14 +60,16 @@
         self._client = HttpClient(address)
         self._clock = Clock()
 
-    async def read_snapshot(self, topic: Topic) -> Snapshot | StoreFailure:
+    async def read_snapshot(
+        self, topic: Topic, timeout_ms: int = RESPONSE_TIMEOUT_MS
+    ) -> Snapshot | StoreFailure:
         """Return the newest record of each key; see StorePort."""
         records: list[StoreRecord] = []
         end: int | None = None
         base = f'/amaranthrail/log-newest?topic={_TOPIC_NAMES[topic]}&part=0'
         target = base
         while True:
-            response = await self._call('GET', target, b'')
+            response = await self._call('GET', target, b'', timeout_ms)
             if isinstance(response, StoreFailure):
                 return response
             try:
@@ -86,14 +88,15 @@
         self,
         topic: Topic,
         offset: int,
-        wait_ms: int,
+        times: ReadTimes,
     ) -> Changes | StoreFailure:
         """Return the records from an offset on; see StorePort."""
         target = (
             f'/amaranthrail/log-read?topic={_TOPIC_NAMES[topic]}&part=0'
-            f'&from={offset}&max_kb={_MAX_READ_KB}&wait_ms={wait_ms}'
+            f'&from={offset}&max_kb={_MAX_READ_KB}&wait_ms={times.wait_ms}'
         )
-        response = await self._call('GET', target, b'', wait_ms)
+        timeout_ms = times.wait_ms + times.timeout_ms
+        response = await self._call('GET', target, b'', timeout_ms)
         if isinstance(response, StoreFailure):
             return response
         try:
@@ -123,12 +126,12 @@
         method: str,
         target: str,
         body: bytes,
-        wait_ms: int = 0,
+        timeout_ms: int = RESPONSE_TIMEOUT_MS,
     ) -> HttpResponse | StoreFailure:
         response: HttpResponse | None = None
         called_at = self._clock.now()
         try:
-            with move_on_after(wait_ms + RESPONSE_TIMEOUT_MS):
+            with move_on_after(timeout_ms):
                 response = await self._client.call(method, target, body=body)
         except HttpError as error:
             self._log_failure('call failed', target, called_at, str(error))
--- a/standins/keyedlog.py
+++ b/standins/keyedlog.py
@@ -69,7 +69,8 @@
     """Serve topics over HTTP; ``fault`` injects a failure into every call.
 
     A snapshot comes in pages of ``page_size`` records; ``before_page`` is
-    called before each page but the first.
+    called before each page but the first. Each response comes ``delay_s``
+    seconds late.
     """
 
     def __init__(self) -> None:
@@ -77,6 +78,7 @@
         self._topics: dict[str, Topic] = {}
         self.fault = StoreFault.NONE
         self.calls = 0
+        self.delay_s = 0.0
         self.page_size = _MAX_PAGE_RECORDS
         self.before_page: Callable[[], None] | None = None
 
@@ -87,6 +89,7 @@
     async def handle(self, request: HttpRequest, reply: ResponseWriter) -> None:
         """Serve one call, or fail it as ``fault`` says."""
         self.calls += 1
+        await trio.sleep(self.delay_s)
         if self.fault is StoreFault.SILENT:
             await trio.sleep_forever()
         if self.fault is StoreFault.REFUSING:
--- a/tests/memorystore.py
+++ b/tests/memorystore.py
@@ -12,7 +12,7 @@
     StoreRecord,
     Topic,
 )
-from amaranthrail.policy.storereads import RESPONSE_TIMEOUT_MS
+from amaranthrail.policy.storereads import RESPONSE_TIMEOUT_MS, ReadTimes
 
 _RESPONSE_MS = 4.0
 
@@ -37,20 +37,22 @@
         """Lose the responses to all reads in flight, without an error."""
         self._path += 1
 
-    async def read_snapshot(self, _topic: Topic) -> Snapshot | StoreFailure:
+    async def read_snapshot(
+        self, _topic: Topic, _timeout_ms: int = RESPONSE_TIMEOUT_MS
+    ) -> Snapshot | StoreFailure:
         """Return the newest record of each key."""
         await sleep(_RESPONSE_MS)
         newest = {record.key: record for record in self._records}
         return Snapshot(tuple(newest.values()), len(self._records))
 
     async def read_changes(
-        self, _topic: Topic, offset: int, wait_ms: int
+        self, _topic: Topic, offset: int, times: ReadTimes
     ) -> Changes | StoreFailure:
         """Return the records from an offset on, or time out as HTTP does."""
         path = self._path
         self.reads += 1
-        with trio.move_on_after((wait_ms + RESPONSE_TIMEOUT_MS) / 1000):
-            await self._wait_for_records(offset, wait_ms)
+        with trio.move_on_after((times.wait_ms + times.timeout_ms) / 1000):
+            await self._wait_for_records(offset, times.wait_ms)
             await sleep(_RESPONSE_MS)
             if path != self._path:
                 await trio.sleep_forever()
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -22,6 +22,9 @@
     f'id: {number}\ndata: {number}\n\n'.encode()
     for number in range(1, STREAM_EVENTS + 1)
 )
+#: Time in which a change must be in force while the store is in trouble, in
+#: seconds (the users' bounds ``config_apply_ms`` and ``outer_bound_ms``).
+MAX_LATE_CHANGE_S = 7.0
 #: Faults in responses to executed calls; no caller may get such a response.
 UNUSABLE_RESPONSES = (
     Behaviour.TRUNCATING,
@@ -310,6 +313,22 @@
     run_on_platform(scenario)
 
 
+def test_an_entry_starts_with_a_store_that_responds_late() -> None:
+    """Guards against reads that are given up as often as they are repeated."""
+
+    async def scenario(bench: PlatformBench) -> None:
+        await bench.add_replica('p1')
+        bench.log.delay_s = 1.0
+        entry = await bench.start_entry()
+        await wait_until(lambda: entry.entry.ready, MAX_LATE_CHANGE_S)
+        bench.configure(9)
+        await wait_until(
+            lambda: entry.entry.cluster_state.version == 9, MAX_LATE_CHANGE_S
+        )
+
+    run_on_platform(scenario)
+
+
 def test_shutdown_finishes_streams_in_progress() -> None:
     async def scenario(bench: PlatformBench) -> None:
         replica = await bench.add_replica('e1', 'engine')
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -14,6 +14,7 @@
 )
 from amaranthrail.direct.ports import Changes, Snapshot, StoreFailure, Topic
 from amaranthrail.platform.store import PlatformStore
+from amaranthrail.policy.storereads import ReadTimes
 from standins.keyedlog import KeyedLog
 from standins.platformfleet import start_server
 
@@ -90,7 +91,9 @@
             store = PlatformStore(address)
             snapshot = await store.read_snapshot(Topic.UPSTREAMS)
             assert isinstance(snapshot, Snapshot)
-            changes = await store.read_changes(Topic.UPSTREAMS, snapshot.end, 0)
+            changes = await store.read_changes(
+                Topic.UPSTREAMS, snapshot.end, ReadTimes(0)
+            )
             assert isinstance(changes, Changes)
             nursery.cancel_scope.cancel()
         latest = {
--- a/tests/test_sync.py
+++ b/tests/test_sync.py
@@ -25,7 +25,11 @@
     follow_configuration,
 )
 from amaranthrail.platform.program import WIRE_FORMAT
-from amaranthrail.policy.storereads import choose_wait_ms
+from amaranthrail.policy.storereads import (
+    RESPONSE_TIMEOUT_MS,
+    ReadTimes,
+    choose_wait_ms,
+)
 
 from .memorystore import MemoryStore
 from .platformbuild import configuration, upstream_record
@@ -51,7 +55,9 @@
         self.results = deque(results)
         self.offsets: list[int | None] = []
 
-    async def read_snapshot(self, _topic: Topic) -> Snapshot | StoreFailure:
+    async def read_snapshot(
+        self, _topic: Topic, _timeout_ms: int = RESPONSE_TIMEOUT_MS
+    ) -> Snapshot | StoreFailure:
         self.offsets.append(None)
         result = await self._next_result()
         assert not isinstance(result, Changes)
@@ -61,7 +67,7 @@
         self,
         _topic: Topic,
         offset: int,
-        _wait_ms: int,
+        _times: ReadTimes,
     ) -> Changes | StoreFailure:
         self.offsets.append(offset)
         result = await self._next_result()
