Tell and ask for a new version at once where the store refuses entries

In a test: the store refuses two of three entries, the third reads a change and loses power 0.2 s later; the others kept the older version although the change was confirmed.

Cause: the way from entry to entry waited up to 300 ms for a report and 500 ms more for the store to deliver, also where the store was known to fail; only a random sync each 300 ms could be quicker. Class: the only holder of news is lost before it has passed them on.

Change: a version put in force has the next report sent at once (direct/reporttrigger, taken out of direct/crashes, which had its own event); an entry whose store fails asks a reporter without waiting.

Ruled out: asking at once also where the store works: each change would be fetched from one entry by all others although the store delivers it.

--- a/src/amaranthrail/direct/clusterstate.py
+++ b/src/amaranthrail/direct/clusterstate.py
@@ -9,6 +9,7 @@
 from ..types import ServiceName
 from .deployment import CallerLimits, Deployment, Service
 from .ports import StoreRecord, WireFormat
+from .reporttrigger import ReportTrigger
 from .upstreams import Directory
 from .versionreports import NewerVersion, VersionReports
 
@@ -44,6 +45,7 @@
         self._version_reports = VersionReports(clock)
         self._read_at: float | None = None
         self._directory = Directory(clock)
+        self._report_trigger = ReportTrigger()
 
     @property
     def deployment(self) -> Deployment | None:
@@ -84,6 +86,11 @@
             int(now - newer.first_seen_at),
         )
 
+    @property
+    def report_trigger(self) -> ReportTrigger:
+        """Return what has this entry's next report sent at once."""
+        return self._report_trigger
+
     @property
     def directory(self) -> Directory:
         """Return the directory that upstream updates are applied to."""
@@ -140,6 +147,8 @@
         earlier_view = self.configuration_view
         self._deployment = deployment
         self._version_reports.drop_until(deployment.version)
+        # Entries that the store refuses can only read it from this one.
+        self._report_trigger.request()
         _log.info(
             'configuration in force',
             version=deployment.version,
--- a/src/amaranthrail/direct/crashes.py
+++ b/src/amaranthrail/direct/crashes.py
@@ -7,7 +7,6 @@
 from contextlib import contextmanager
 
 import msgspec
-import trio
 
 from ..clock import Clock
 from ..logs import part_logger
@@ -22,6 +21,7 @@
 from ..types import PromptPart, ServiceName
 from .deployment import UpstreamRecord
 from .peermessages import AnswerReport, CrashEvidence, CrashReport
+from .reporttrigger import ReportTrigger
 
 #: Most parts whose latest answer is remembered, those answered last.
 MAX_ANSWERED_PARTS = 8192
@@ -57,20 +57,20 @@
 class CrashRecords:
     """Record crashes and answers, and admit calls by their prompts."""
 
-    def __init__(self, clock: Clock) -> None:
-        """Start without evidence."""
+    def __init__(
+        self, clock: Clock, report_trigger: ReportTrigger | None = None
+    ) -> None:
+        """Start without evidence.
+
+        ``report_trigger`` is used for each crash or trial of this entry.
+        """
         self._clock = clock
+        self._report_trigger = report_trigger or ReportTrigger()
         self._crashes: OrderedDict[_CrashKey, Crash] = OrderedDict()
         self._answered_at: OrderedDict[_AnswerKey, float] = OrderedDict()
         self._reported_answers: dict[_AnswerKey, float] = {}
         self._own_trials: set[PromptPart] = set()
         self._other_trials_until = 0.0
-        self._changed = trio.Event()
-
-    @property
-    def changed(self) -> trio.Event:
-        """Return the event of the next crash or trial of this entry."""
-        return self._changed
 
     def record_answer(
         self, service: ServiceName, parts: Iterable[PromptPart]
@@ -90,7 +90,7 @@
         """Record a crash and the parts of a call that had no answer yet."""
         key = _CrashKey(upstream.service, upstream.name, upstream.started_at)
         self._add_crash(key, self._clock.now(), frozenset(parts), OWN_SOURCE)
-        self._announce()
+        self._report_trigger.request()
 
     def judge(
         self, service: ServiceName, parts: tuple[PromptPart, ...]
@@ -112,7 +112,7 @@
         """Tell other entries of the trial of a call while the block runs."""
         _log.info('suspect tried', parts=list(suspects))
         self._own_trials.update(suspects)
-        self._announce()
+        self._report_trigger.request()
         try:
             yield
         finally:
@@ -287,8 +287,3 @@
     ) -> bool:
         answered_at = self._find_answer(_AnswerKey(service, part))
         return answered_at is not None and answered_at > at
-
-    def _announce(self) -> None:
-        """Have the next report sent at once."""
-        self._changed.set()
-        self._changed = trio.Event()
--- a/src/amaranthrail/direct/loads.py
+++ b/src/amaranthrail/direct/loads.py
@@ -102,7 +102,6 @@
     async def _send_reports(self, socket: trio.socket.SocketType) -> None:
         had_calls = False
         while True:
-            crashes_changed = self._crashes.changed
             calls = self._cluster.directory.calls_in_flight()
             payload = encode_message(self._make_report(calls))
             for host in self._sample(sorted(self._members.hosts)):
@@ -112,7 +111,7 @@
             with move_on_after(
                 REPORT_INTERVAL_MS if busy else IDLE_INTERVAL_MS
             ):
-                await crashes_changed.wait()
+                await self._cluster.report_trigger.wait()
 
     def _make_report(self, calls: dict[str, int]) -> LoadReport:
         own = self._members.own
--- a/src/amaranthrail/direct/peers.py
+++ b/src/amaranthrail/direct/peers.py
@@ -158,7 +158,12 @@
             await self._sync_with(self._random.choice(hosts))
 
     def _is_overdue(self, newer: NewerVersion) -> bool:
-        """Tell whether the store should have delivered a version by now."""
+        """Tell whether the store should have delivered a version by now.
+
+        A store that fails delivers none, and the entry that has it may be lost.
+        """
+        if self._store_status.lost:
+            return True
         return self._store_status.clock.now() - newer.first_seen_at > OVERDUE_MS
 
     async def _sync_with(self, host: str) -> None:
--- a/src/amaranthrail/direct/promptguard.py
+++ b/src/amaranthrail/direct/promptguard.py
@@ -25,7 +25,7 @@
         """Send to the upstreams of ``cluster``; start without suspects."""
         self._directory = cluster.directory
         self._attempts = AttemptSender(clock, wire_format, cluster.directory)
-        self._crashes = CrashRecords(clock)
+        self._crashes = CrashRecords(clock, cluster.report_trigger)
 
     @property
     def crashes(self) -> CrashRecords:
--- a/standins/keyedlog.py
+++ b/standins/keyedlog.py
@@ -86,6 +86,12 @@
         """Return a topic; create it if it does not exist."""
         return self._topics.setdefault(name, Topic())
 
+    def share(self) -> KeyedLog:
+        """Return a store with the same topics and faults of its own."""
+        shared = KeyedLog()
+        shared._topics = self._topics
+        return shared
+
     async def handle(self, request: HttpRequest, reply: ResponseWriter) -> None:
         """Serve one call, or fail it as ``fault`` says."""
         self.calls += 1
--- a/tests/platformbench.py
+++ b/tests/platformbench.py
@@ -51,7 +51,10 @@
         self.replicas: dict[str, Replica] = {}
 
     async def start(self) -> None:
-        self._store_address = await start_server(self._nursery, self.log.handle)
+        self._store_address = await self.start_store(self.log)
+
+    async def start_store(self, log: KeyedLog) -> Address:
+        return await start_server(self._nursery, log.handle)
 
     def configure(self, version: int = 1, **changes: Any) -> None:
         text = configuration(version, **changes)
@@ -99,8 +102,9 @@
         settings = parse_settings('\n'.join((SETTINGS, *lines)))
         store = PlatformStore(settings.store)
         entry = DirectEntry(settings, store, WIRE_FORMAT, HttpRank)
-        self._nursery.start_soon(entry.run)
-        return RunningEntry(entry, settings.callers)
+        running = RunningEntry(entry, settings.callers)
+        self._nursery.start_soon(running.run)
+        return running
 
 
 class DeadlyEngine:
@@ -162,6 +166,15 @@
         self.address = address
         self.client = HttpClient(address)
         self._attempts = itertools.count(1)
+        self._process = trio.CancelScope()
+
+    async def run(self) -> None:
+        with self._process:
+            await self.entry.run()
+
+    def kill(self) -> None:
+        """End the entry at once, as a loss of power does."""
+        self._process.cancel()
 
     async def until_ready(self) -> None:
         await wait_until(lambda: self.entry.ready)
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -14,7 +14,12 @@
 from standins.platformfleet import start_server
 from standins.replica import STREAM_EVENTS, Behaviour
 
-from .platformbench import PlatformBench, run_on_platform, wait_until
+from .platformbench import (
+    PlatformBench,
+    RunningEntry,
+    run_on_platform,
+    wait_until,
+)
 from .platformbuild import configuration, route
 
 READ_ROUTE = route('read', 'idempotent', 'plain')
@@ -22,6 +27,11 @@
     f'id: {number}\ndata: {number}\n\n'.encode()
     for number in range(1, STREAM_EVENTS + 1)
 )
+#: Time in which a change must be in force, in seconds (the users' bound
+#: ``config_apply_ms``), and time for which an entry lives that has read it: a
+#: tenth of that.
+APPLY_S = 2.0
+MAX_SPREAD_S = 0.2
 #: Time in which a change must be in force while the store is in trouble, in
 #: seconds (the users' bounds ``config_apply_ms`` and ``outer_bound_ms``).
 MAX_LATE_CHANGE_S = 7.0
@@ -302,6 +312,52 @@
     run_on_platform(scenario)
 
 
+async def start_refused_entry(
+    bench: PlatformBench, seed: RunningEntry, fault: StoreFault
+) -> RunningEntry:
+    """Start an entry; return once it knows that its store fails."""
+    refusing = bench.log.share()
+    address = await bench.start_store(refusing)
+    settings = {
+        'seed_nodes': f'{seed.address.host}:1',
+        'platform.address': str(address),
+    }
+    entry = await bench.start_entry(**settings)
+    await entry.until_ready()
+    refusing.fault = fault
+    await wait_until(lambda: entry.entry.store_lost)
+    return entry
+
+
+@pytest.mark.parametrize(
+    'fault',
+    [StoreFault.REFUSING, StoreFault.BUSY, StoreFault.SILENT],
+)
+def test_a_version_outlives_the_only_entry_that_could_read_it(
+    fault: StoreFault,
+) -> None:
+    """Guards against changes that are lost with the entry that read them.
+
+    The store refuses the other entries, and that one loses power.
+    """
+
+    async def scenario(bench: PlatformBench) -> None:
+        await bench.add_replica('p1')
+        first = await bench.start_entry()
+        await first.until_ready()
+        others = [
+            await start_refused_entry(bench, first, fault) for _ in range(2)
+        ]
+        bench.configure(9)
+        await wait_until(lambda: first.entry.cluster_state.version == 9)
+        await trio.sleep(MAX_SPREAD_S)
+        first.kill()
+        await trio.sleep(APPLY_S - MAX_SPREAD_S)
+        assert [entry.entry.cluster_state.version for entry in others] == [9, 9]
+
+    run_on_platform(scenario)
+
+
 def test_an_entry_without_configuration_is_not_ready() -> None:
     async def scenario(bench: PlatformBench) -> None:
         bench.log.fault = StoreFault.REFUSING
