Keep the rate that an upstream names, over all entries together

Cause: nothing read Server-Limit; an upstream that named it got calls like its neighbours. Class: what an upstream says of itself in a response was not heard. A limit for all entries together cannot be kept by each entry alone, and equal fixed shares of a rate below the number of entries are bursts of one call each.

Change: platform/headers decodes the field; direct/ratelimits keeps the limit of one start of an upstream until a response to a later call does not name it, and exchanges it with each entry's recent calls in load reports; policy/ratesharing draws permits from what the limit has left, in proportion to recent calls, the fraction by lot; entries not heard keep their part, a new one uses half. Selection leaves out upstreams without a permit; where none is left the call is refused at once (upstream-limit).

--- a/src/amaranthrail/direct/attempt.py
+++ b/src/amaranthrail/direct/attempt.py
@@ -50,6 +50,8 @@
             ),
         )
         upstream.adjust_in_flight(1)
+        upstream.rate_limit.record_call()
+        sent_at = self._clock.now()
         try:
             async with upstream.client.exchange(
                 call.request.method,
@@ -62,8 +64,12 @@
                 new_connection=not call.route.retryable,
                 head_guard=relay.make_stall_guard(),
             ) as exchange:
+                metadata = self._wire_format.read_response(
+                    exchange.status, exchange.headers
+                )
+                _record_statement(call, upstream, metadata, sent_at)
                 return await self._read_response(
-                    call, upstream, relay, exchange
+                    call, upstream, relay, exchange, metadata
                 )
         except ResponseTooLargeError as error:
             upstream.health.record_unreachable(self._clock.now())
@@ -85,11 +91,8 @@
         upstream: Upstream,
         relay: StreamRelay,
         exchange: HttpExchange,
+        metadata: ResponseMetadata,
     ) -> BufferedResponse | Failure | None:
-        metadata = self._wire_format.read_response(
-            exchange.status,
-            exchange.headers,
-        )
         if metadata.replaced:
             self._directory.remove(upstream.record.name, 'replaced')
             return Failure(
@@ -126,6 +129,22 @@
             upstream.health.record_success()
 
 
+def _record_statement(
+    call: Call,
+    upstream: Upstream,
+    metadata: ResponseMetadata,
+    sent_at: float,
+) -> None:
+    """Record what the upstream says of itself in a response to this call."""
+    if metadata.replaced or metadata.attempt_id != call.metadata.attempt_id:
+        return
+    limit_per_s = metadata.statement.limit_per_s
+    if limit_per_s is not None:
+        upstream.rate_limit.record_named(limit_per_s)
+    elif not metadata.not_executed:
+        upstream.rate_limit.record_unnamed(sent_at)
+
+
 def _check_head(
     call: Call,
     metadata: ResponseMetadata,
--- a/src/amaranthrail/direct/forward.py
+++ b/src/amaranthrail/direct/forward.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from functools import partial
 
 import msgspec
@@ -157,7 +157,9 @@
             upstream.view(self._domain, reported[upstream.record.name])
             for upstream in ready
         ]
+        directory.sharing.record_call(call.service)
         admitted = self._admit(call, ready, views)
+        call.wait_ms = _least_wait_ms(admitted)
         view = select_upstream(admitted, self._random, self._loads.entries)
         chosen = None if view is None else directory.find(view.name)
         if view is None or chosen is None:
@@ -302,6 +304,12 @@
             cause = last_attempt.cause
         if call.may_have_run:
             return unknown_outcome(Reason.UPSTREAM_BROKEN, cause)
+        if call.wait_ms is not None and not call.choices:
+            return not_run(
+                Reason.UPSTREAM_LIMIT,
+                f'upstreams of {call.service} take no more calls for now',
+                int(call.wait_ms) + choose_retry_after_ms(self._random),
+            )
         if call.engine_load is not None and not call.choices:
             remaining_ms = call.deadline - self._clock.now()
             return not_run(
@@ -316,6 +324,11 @@
         )
 
 
+def _least_wait_ms(views: Iterable[UpstreamView]) -> float | None:
+    """Return the time until an upstream takes a call, None if one does now."""
+    return min((view.wait_ms for view in views), default=0) or None
+
+
 def _may_have_run(attempt: BufferedResponse | Failure) -> bool:
     return isinstance(attempt, BufferedResponse) or attempt.may_have_run
 
--- a/src/amaranthrail/direct/loads.py
+++ b/src/amaranthrail/direct/loads.py
@@ -29,6 +29,8 @@
 #: Upstreams whose rank groups one report names; the leader names all of them
 #: within seconds of its start.
 GROUPS_PER_REPORT = 16
+#: Upstreams whose limits one report names; a report fits into one datagram.
+LIMITS_PER_REPORT = 256
 _MAX_DATAGRAM_BYTES = 65_536
 _log = part_logger('loads')
 
@@ -102,6 +104,9 @@
     async def _send_reports(self, socket: trio.socket.SocketType) -> None:
         had_calls = False
         while True:
+            self._cluster.directory.sharing.update_entries(
+                self._members.count, self._members.report_rounds
+            )
             calls = self._cluster.directory.calls_in_flight()
             payload = encode_message(self._make_report(calls))
             for host in self._sample(sorted(self._members.hosts)):
@@ -125,6 +130,7 @@
             self._cluster.version,
             self._groups_to_report(),
             self._crashes.evidence(),
+            self._cluster.directory.next_limits(LIMITS_PER_REPORT),
         )
 
     def _groups_to_report(self) -> dict[str, str]:
@@ -162,17 +168,22 @@
             except msgspec.DecodeError as error:
                 _log.warning('invalid report ignored', cause=str(error))
                 continue
-            self._shared.update(sender[0], report.calls)
-            self._members.record_report(
-                Member(
-                    sender[0],
-                    report.started_at,
-                    self._clock.now(),
-                    report.shutdown_at,
-                    report.has_cluster_state,
-                ),
-            )
-            self._members.add_reported(report.live_hosts)
-            self._cluster.directory.assign_groups(report.groups)
-            self._cluster.record_peer_version(report.version, sender[0])
-            self._crashes.apply_evidence(report.crash_evidence, sender[0])
+            self._apply_report(report, sender[0])
+
+    def _apply_report(self, report: LoadReport, host: str) -> None:
+        directory = self._cluster.directory
+        self._shared.update(host, report.calls)
+        self._members.record_report(
+            Member(
+                host,
+                report.started_at,
+                self._clock.now(),
+                report.shutdown_at,
+                report.has_cluster_state,
+            ),
+        )
+        self._members.add_reported(report.live_hosts)
+        directory.assign_groups(report.groups)
+        directory.apply_limits(report.limits, host, report.started_at)
+        self._cluster.record_peer_version(report.version, host)
+        self._crashes.apply_evidence(report.crash_evidence, host)
--- a/src/amaranthrail/direct/members.py
+++ b/src/amaranthrail/direct/members.py
@@ -14,6 +14,7 @@
     is_live,
     is_successor,
     liveness_timeout_ms,
+    report_rounds,
 )
 
 #: Time for which a host without reports still counts as one that may run an
@@ -73,6 +74,11 @@
         """Count the entries that may be running, this one included."""
         return len(self.hosts) + 1
 
+    @property
+    def report_rounds(self) -> int:
+        """Return after how many reports all entries have received one."""
+        return report_rounds(self.count, MAX_REPORT_PEERS)
+
     @property
     def lost_hosts(self) -> frozenset[str]:
         """Return the listed hosts without reports for HOST_RETENTION_MS.
--- a/src/amaranthrail/direct/peermessages.py
+++ b/src/amaranthrail/direct/peermessages.py
@@ -84,6 +84,25 @@
     trials: list[str] = []
 
 
+class LimitReport(msgspec.Struct, array_like=True, frozen=True):
+    """Report a limit that an upstream names, and the sender's use of it.
+
+    ``started_at`` is the wall time of the upstream's start in ms, ``per_s`` the
+    rate in calls a second that was named ``named_age_ms`` ago. The limit ended
+    ``ended_age_ms`` ago, None while it is in force. ``demand`` is the weight of
+    the sender's recent calls to the service, ``calls`` are those that it sent
+    to the upstream in the window of the limit.
+    """
+
+    upstream: str
+    started_at: int
+    per_s: float
+    named_age_ms: int
+    ended_age_ms: int | None = None
+    demand: float = 0
+    calls: int = 0
+
+
 class LoadReport(msgspec.Struct, array_like=True, frozen=True):
     """Report an entry's calls in flight by upstream, and its own state.
 
@@ -92,7 +111,8 @@
     its stop signal (0 before). ``has_cluster_state`` says that it knows a
     configuration and upstreams, ``version`` is that of its configuration.
     ``groups`` has the rank groups of some upstreams, by upstream name.
-    ``crash_evidence`` is what it knows of prompts that crash upstreams.
+    ``crash_evidence`` is what it knows of prompts that crash upstreams,
+    ``limits`` what it knows of the limits of some upstreams.
     """
 
     calls: dict[str, int]
@@ -103,6 +123,7 @@
     version: int = 0
     groups: dict[str, str] = {}
     crash_evidence: CrashEvidence = CrashEvidence()
+    limits: list[LimitReport] = []
 
 
 _request_decoder = msgspec.msgpack.Decoder(SyncRequest)
--- a/src/amaranthrail/direct/ports.py
+++ b/src/amaranthrail/direct/ports.py
@@ -116,13 +116,23 @@
     slots: int
 
 
+class UpstreamStatement(msgspec.Struct, frozen=True):
+    """Hold what an upstream says of itself in a response.
+
+    ``limit_per_s`` is the rate of calls that it takes from all entries
+    together, None where it names none.
+    """
+
+    limit_per_s: float | None = None
+
+
 class ResponseMetadata(msgspec.Struct, frozen=True):
     """Hold what an entry reads from the headers of a response.
 
     ``signed`` says that it carries a signature of the upstream.
     ``not_executed`` is proof that the call has not run, ``replaced`` says that
     the address now belongs to another upstream, and ``encoded`` that the body
-    has a content encoding.
+    has a content encoding. ``statement`` is what the upstream says of itself.
     """
 
     attempt_id: str | None
@@ -131,6 +141,7 @@
     replaced: bool
     encoded: bool
     load: ReportedLoad | None
+    statement: UpstreamStatement
 
 
 class ForwardingFields(msgspec.Struct, frozen=True):
--- a/src/amaranthrail/direct/service.py
+++ b/src/amaranthrail/direct/service.py
@@ -245,6 +245,8 @@
     ) -> None:
         view = self._cluster.configuration_view
         self._metrics.gauge('configuration_version', view.version)
+        limited_count = self._cluster.directory.limited_count
+        self._metrics.gauge('limited_upstreams', limited_count)
         if view.read_age_ms is not None:
             read_age_s = view.read_age_ms / MS_PER_SECOND
             self._metrics.gauge('configuration_read_age_seconds', read_age_s)
--- a/src/amaranthrail/direct/upstreams.py
+++ b/src/amaranthrail/direct/upstreams.py
@@ -11,7 +11,9 @@
 from ..policy.selection import UpstreamView, decay_others
 from ..types import DomainName, GroupName, ServiceName
 from .deployment import OrderKey, UpstreamRecord, UpstreamState
+from .peermessages import LimitReport
 from .ports import ReportedLoad
+from .ratelimits import LimitSharing, RateLimit
 from .steptimes import StepTimes
 
 #: Time for which the name of a removed upstream is kept, in ms, so that a late
@@ -31,9 +33,20 @@
 class Upstream:
     """Hold one upstream's latest record, connections, load and health."""
 
-    def __init__(self, record: UpstreamRecord, clock: Clock) -> None:
-        """Start with no calls in flight and with no failures."""
+    def __init__(
+        self,
+        record: UpstreamRecord,
+        clock: Clock,
+        sharing: LimitSharing | None = None,
+    ) -> None:
+        """Start with no calls in flight and with no failures.
+
+        ``sharing`` is what a limit of the upstream is shared out by, this entry
+        alone by default.
+        """
         self._record = record
+        self._sharing = sharing or LimitSharing(clock)
+        self._rate_limit = RateLimit(record, self._sharing)
         self._clock = clock
         self._client = _make_client(record)
         self._health = Health()
@@ -58,6 +71,11 @@
         """Return the outlier detection state since the last restart or move."""
         return self._health
 
+    @property
+    def rate_limit(self) -> RateLimit:
+        """Return the limit that it has named since its last start or move."""
+        return self._rate_limit
+
     @property
     def group(self) -> GroupName | None:
         """Return the group that it is a rank of, None where unknown."""
@@ -92,6 +110,7 @@
             self._client.close_idle()
             self._client = _make_client(record)
             self._health = Health()
+            self._rate_limit = RateLimit(record, self._sharing)
             self._group = None
         self._record = record
 
@@ -127,6 +146,7 @@
             self._group,
             is_same_domain=self._record.domain == domain,
             is_ejected=self._health.is_ejected(now),
+            wait_ms=self._rate_limit.wait_ms,
         )
 
 
@@ -143,12 +163,27 @@
         self._upstreams: dict[str, Upstream] = {}
         self._step_times: dict[_GroupKey, StepTimes] = {}
         self._next_group = 0
+        self._next_limit = 0
+        self._sharing = LimitSharing(clock)
         self._tombstones: dict[str, _Tombstone] = {}
 
     def __len__(self) -> int:
         """Count the known upstreams, ready or draining."""
         return len(self._upstreams)
 
+    @property
+    def sharing(self) -> LimitSharing:
+        """Return what limits of upstreams are shared out by."""
+        return self._sharing
+
+    @property
+    def limited_count(self) -> int:
+        """Count the upstreams that name a limit."""
+        return sum(
+            upstream.rate_limit.in_force
+            for upstream in self._upstreams.values()
+        )
+
     def records(self) -> Iterator[UpstreamRecord]:
         """Yield the latest record of each known upstream."""
         for upstream in self._upstreams.values():
@@ -204,6 +239,28 @@
             if upstream is not None and upstream.group != group:
                 upstream.assign_group(GroupName(group))
 
+    def next_limits(self, count: int) -> list[LimitReport]:
+        """Return the reports on up to ``count`` upstreams' limits, in turn."""
+        reports = [
+            report
+            for upstream in self._upstreams.values()
+            if (report := upstream.rate_limit.report()) is not None
+        ]
+        if len(reports) <= count:
+            return reports
+        first = self._next_limit % len(reports)
+        self._next_limit = first + count
+        return (reports + reports)[first : first + count]
+
+    def apply_limits(
+        self, reports: Iterable[LimitReport], host: str, started_at: int
+    ) -> None:
+        """Apply the limits that another entry reports, started then."""
+        for report in reports:
+            upstream = self._upstreams.get(report.upstream)
+            if upstream is not None:
+                upstream.rate_limit.apply_report(report, host, started_at)
+
     def ready_upstreams(
         self,
         service: ServiceName,
@@ -228,7 +285,9 @@
             if not self._free_address(record):
                 return False
             self._tombstones.pop(record.name, None)
-            self._upstreams[record.name] = Upstream(record, self._clock)
+            self._upstreams[record.name] = Upstream(
+                record, self._clock, self._sharing
+            )
             _log_change('upstream added', record)
             return True
         if record.order_key < existing.record.order_key:
--- a/src/amaranthrail/outcomes.py
+++ b/src/amaranthrail/outcomes.py
@@ -32,6 +32,7 @@
     NO_CAPACITY = 'no-capacity'
     NO_REPLICA = 'no-replica'
     PROMPT_HELD = 'prompt-held'
+    UPSTREAM_LIMIT = 'upstream-limit'
     LOG_UNAVAILABLE = 'log-unavailable'
     DRAINING = 'draining'
     EXPIRED = 'expired'
--- a/src/amaranthrail/platform/headers.py
+++ b/src/amaranthrail/platform/headers.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Mapping
+
 from ..adapters.httpserver import HttpRequest
 from ..clock import MS_PER_SECOND
 from ..direct.ports import (
@@ -9,6 +12,7 @@
     ReportedLoad,
     RequestMetadata,
     ResponseMetadata,
+    UpstreamStatement,
 )
 from ..outcomes import Refusal
 from ..types import HeaderList, Millis, PromptPart
@@ -104,6 +108,7 @@
         replaced=status == _HTTP_MISDIRECTED,
         encoded='content-encoding' in fields,
         load=_parse_load(fields.get('replica-load')),
+        statement=_read_statement(fields),
     )
 
 
@@ -135,6 +140,22 @@
     return text[len(_CREDENTIAL_SCHEME) :].strip()
 
 
+def _read_statement(fields: Mapping[str, str]) -> UpstreamStatement:
+    return UpstreamStatement(
+        # Calls a second of all hosts together.
+        limit_per_s=_parse_decimal(fields.get('server-limit')),
+    )
+
+
+def _parse_decimal(text: str | None) -> float | None:
+    """Return a finite number of at least 0, None for anything else."""
+    try:
+        number = float(text or '')
+    except ValueError:
+        return None
+    return number if 0 <= number < math.inf else None
+
+
 def _parse_millis(text: str | None) -> Millis | None:
     if text is None:
         return None
--- a/src/amaranthrail/policy/membership.py
+++ b/src/amaranthrail/policy/membership.py
@@ -81,11 +81,15 @@
     )
 
 
-def liveness_timeout_ms(entries: int, receivers: int) -> float:
-    """Return the time without a report after which an entry is not live.
+def report_rounds(entries: int, receivers: int) -> int:
+    """Return after how many reports of an entry all others have received one.
 
     Each report is sent to at most ``receivers`` entries, so the more
     ``entries`` there are, the less often one entry receives another's reports.
     """
-    rounds = -(-max(1, entries - 1) // receivers)
-    return LIVENESS_TIMEOUT_MS * rounds
+    return -(-max(1, entries - 1) // receivers)
+
+
+def liveness_timeout_ms(entries: int, receivers: int) -> float:
+    """Return the time without a report after which an entry is not live."""
+    return LIVENESS_TIMEOUT_MS * report_rounds(entries, receivers)
--- a/src/amaranthrail/policy/rankgroups.py
+++ b/src/amaranthrail/policy/rankgroups.py
@@ -57,12 +57,14 @@
 ) -> GroupLoad:
     """Return the load of a group's upstreams with one more call.
 
-    ``step_ms`` and ``silent_ms`` are as in GroupLoad.
+    ``step_ms`` and ``silent_ms`` are as in GroupLoad. An upstream that takes no
+    call now is not the least loaded; its calls make steps longer all the same.
     """
+    open_views = [view for view in views if not view.wait_ms] or views
     calls = sum(view.own_calls + view.other_calls for view in views)
     slots = sum(view.slots for view in views)
     return GroupLoad(
-        min(view.load_per_slot for view in views),
+        min(view.load_per_slot for view in open_views),
         (calls + 1) / max(1, slots),
         step_ms,
         silent_ms,
--- a/src/amaranthrail/policy/selection.py
+++ b/src/amaranthrail/policy/selection.py
@@ -39,7 +39,8 @@
 
     ``own_calls`` counts this entry's calls in flight there, ``other_calls`` is
     the estimate of all other work, ``group`` is the group that it is a rank of,
-    and ``is_ejected`` says that its recent calls failed.
+    and ``is_ejected`` says that its recent calls failed. ``wait_ms`` is the
+    time until it takes a call, 0 if it takes one now.
     """
 
     name: str
@@ -49,6 +50,7 @@
     group: GroupName | None = None
     is_same_domain: bool = False
     is_ejected: bool = False
+    wait_ms: float = 0
 
     @property
     def load_per_slot(self) -> float:
@@ -71,7 +73,7 @@
     rng: random.Random,
     entries: int = 1,
 ) -> UpstreamView | None:
-    """Return the upstream of least cost, None if all are overloaded.
+    """Return the upstream of least cost, None if none takes a call.
 
     Ejected upstreams are selected only where no other is available, and full
     ones only where no other has a free slot. Where several ``entries`` place
@@ -79,7 +81,9 @@
     random.
     """
     available = [
-        view for view in views if view.load_per_slot <= MAX_LOAD_PER_SLOT
+        view
+        for view in views
+        if not view.wait_ms and view.load_per_slot <= MAX_LOAD_PER_SLOT
     ]
     healthy = [view for view in available if not view.is_ejected] or available
     free = [
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -10,6 +10,7 @@
 
 from amaranthrail.adapters.httpserver import HttpRequest, ResponseWriter
 from amaranthrail.adapters.problem import send_json
+from amaranthrail.types import HeaderList
 
 _HTTP_OK = 200
 _HTTP_MISDIRECTED = 421
@@ -48,7 +49,8 @@
 
     ``executed`` has the calls that began, ``refused`` and ``cancelled`` count
     calls. ``pause_s`` is the time of a call and between two events of a stream,
-    in seconds. ``record_run`` is called as a call begins.
+    in seconds. ``statements`` are header fields that all responses to executed
+    calls have. ``record_run`` is called as a call begins.
     """
 
     name: str
@@ -57,6 +59,7 @@
     refused: int = 0
     cancelled: int = 0
     pause_s: float = 0
+    statements: HeaderList = ()
     record_run: Callable[[str, HttpRequest], None] | None = None
 
     async def handle(self, request: HttpRequest, reply: ResponseWriter) -> None:
@@ -87,7 +90,7 @@
             headers.append(('replica-signature', f'signed-{self.name}'))
         if self.behaviour is Behaviour.ENCODED:
             headers.append(('content-encoding', 'gzip'))
-        return tuple(headers)
+        return (*headers, *self.statements)
 
     async def _execute(
         self, request: HttpRequest, reply: ResponseWriter
--- a/tests/platformbuild.py
+++ b/tests/platformbuild.py
@@ -6,6 +6,8 @@
 from typing import Any
 
 from amaranthrail.adapters.httpserver import HttpRequest
+from amaranthrail.direct.deployment import UpstreamRecord
+from amaranthrail.platform.records import read_upstream
 from amaranthrail.types import HeaderList
 
 SETTINGS = """
@@ -119,6 +121,13 @@
     return json.dumps({**fields, **changes}).encode()
 
 
+def direct_upstream(name: str, **changes: Any) -> UpstreamRecord:
+    """Return an upstream's record as an entry keeps it."""
+    record = read_upstream(name, upstream_record('10.0.0.9:80', **changes))
+    assert isinstance(record, UpstreamRecord)
+    return record
+
+
 def request(
     path: str = '/read/1',
     headers: HeaderList = (),
