Send no calls to an upstream that says it leaves

Callers saw: nothing yet.

Cause: nothing read Server-Leaving; only the store's record of an upstream took it out, which some never write.

Evidence: test_a_replica_that_says_it_leaves_gets_no_more_calls failed before (the second call was sent there), passes with the change.

Change: the field is decoded beside the limit; direct/upstreams keeps it for one start, so a later record that still says ready changes nothing, and a restart or a move ends it. An upstream that said so and ends is no crash for the prompts (direct/promptguard). Ruled out: telling other entries, since one wrong response would take an upstream from all of them; each learns it with its next response or from the store.

--- a/src/amaranthrail/direct/attempt.py
+++ b/src/amaranthrail/direct/attempt.py
@@ -138,6 +138,8 @@
     """Record what the upstream says of itself in a response to this call."""
     if metadata.replaced or metadata.attempt_id != call.metadata.attempt_id:
         return
+    if metadata.statement.is_leaving:
+        upstream.record_leaving()
     limit_per_s = metadata.statement.limit_per_s
     if limit_per_s is not None:
         upstream.rate_limit.record_named(limit_per_s)
--- a/src/amaranthrail/direct/ports.py
+++ b/src/amaranthrail/direct/ports.py
@@ -120,10 +120,12 @@
     """Hold what an upstream says of itself in a response.
 
     ``limit_per_s`` is the rate of calls that it takes from all entries
-    together, None where it names none.
+    together, None where it names none, and ``is_leaving`` says that it is about
+    to shut down.
     """
 
     limit_per_s: float | None = None
+    is_leaving: bool = False
 
 
 class ResponseMetadata(msgspec.Struct, frozen=True):
--- a/src/amaranthrail/direct/promptguard.py
+++ b/src/amaranthrail/direct/promptguard.py
@@ -10,7 +10,6 @@
 from .call import BufferedResponse, Call, Failure
 from .clusterstate import ClusterState
 from .crashes import CrashRecords
-from .deployment import UpstreamState
 from .ports import WireFormat
 from .relay import StreamRelay
 from .upstreams import Upstream
@@ -69,7 +68,7 @@
         is_listed = self._directory.find(record.name) is upstream
         if not (may_be_cause and is_listed):
             return
-        if record.state is not UpstreamState.READY:
+        if not upstream.takes_calls:
             return
         if await upstream.client.refuses_connections():
             self._crashes.record_crash(record, call.metadata.shared_parts)
--- a/src/amaranthrail/direct/upstreams.py
+++ b/src/amaranthrail/direct/upstreams.py
@@ -54,6 +54,7 @@
         self._other_calls = 0.0
         self._other_calls_at = clock.now()
         self._active_at = clock.now()
+        self._is_leaving = False
         self._group: GroupName | None = None
 
     @property
@@ -76,6 +77,12 @@
         """Return the limit that it has named since its last start or move."""
         return self._rate_limit
 
+    @property
+    def takes_calls(self) -> bool:
+        """Tell whether it is ready and has not said that it leaves."""
+        is_ready = self._record.state is UpstreamState.READY
+        return is_ready and not self._is_leaving
+
     @property
     def group(self) -> GroupName | None:
         """Return the group that it is a rank of, None where unknown."""
@@ -95,6 +102,15 @@
         """Record the group that the upstream is a rank of until it restarts."""
         self._group = group
 
+    def record_leaving(self) -> None:
+        """Record that the upstream says it leaves, until it restarts.
+
+        Its record may say so later, or never.
+        """
+        if not self._is_leaving:
+            _log_change('upstream is leaving', self._record)
+        self._is_leaving = True
+
     def record_activity(self) -> None:
         """Record that the upstream has just sent data."""
         self._active_at = self._clock.now()
@@ -111,6 +127,7 @@
             self._client = _make_client(record)
             self._health = Health()
             self._rate_limit = RateLimit(record, self._sharing)
+            self._is_leaving = False
             self._group = None
         self._record = record
 
@@ -271,7 +288,7 @@
             upstream
             for name, upstream in self._upstreams.items()
             if upstream.record.service == service
-            and upstream.record.state is UpstreamState.READY
+            and upstream.takes_calls
             and name not in excluded
         ]
 
--- a/src/amaranthrail/platform/headers.py
+++ b/src/amaranthrail/platform/headers.py
@@ -144,6 +144,7 @@
     return UpstreamStatement(
         # Calls a second of all hosts together.
         limit_per_s=_parse_decimal(fields.get('server-limit')),
+        is_leaving=fields.get('server-leaving', '').strip() == '1',
     )
 
 
--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -8,6 +8,7 @@
 import trio
 
 from amaranthrail.adapters.httpclient import HttpResponse
+from amaranthrail.direct.deployment import UpstreamRecord
 from amaranthrail.exceptions import HttpError
 from amaranthrail.policy.shutdown import STREAM_ACCEPT_MS
 from standins.keyedlog import KeyedLog, StoreFault
@@ -35,6 +36,8 @@
 #: Time in which a change must be in force while the store is in trouble, in
 #: seconds (the users' bounds ``config_apply_ms`` and ``outer_bound_ms``).
 MAX_LATE_CHANGE_S = 7.0
+#: Wall time of a replica's next start, later than any first one.
+RESTARTED_AT = 1_000_000
 #: Faults in responses to executed calls; no caller may get such a response.
 UNUSABLE_RESPONSES = (
     Behaviour.TRUNCATING,
@@ -219,6 +222,43 @@
     run_on_platform(scenario)
 
 
+def test_a_replica_that_says_it_leaves_gets_no_more_calls() -> None:
+    """Guards against calls after a leaving that the store has not told."""
+
+    async def scenario(bench: PlatformBench) -> None:
+        replica = await bench.add_replica('p1')
+        replica.statements = (('server-leaving', '1'),)
+        entry = await bench.start_entry()
+        await entry.until_ready()
+        assert (await entry.call('/read/1')).status == 200
+        # A later record of the same start, still ready, changes nothing.
+        await announce_again(bench, entry, sequence=2)
+        for _ in range(5):
+            assert (await entry.call('/read/1')).status == 503
+        assert len(replica.executed) == 1
+        replica.statements = ()
+        await announce_again(bench, entry, born=RESTARTED_AT)
+        assert (await entry.call('/read/1')).status == 200
+
+    run_on_platform(scenario)
+
+
+async def announce_again(
+    bench: PlatformBench, entry: RunningEntry, **changes: int
+) -> None:
+    """Announce p1 with changes; return once the entry has read them."""
+
+    def find_record() -> UpstreamRecord:
+        upstream = entry.entry.cluster_state.directory.find('p1')
+        assert upstream is not None
+        return upstream.record
+
+    record = find_record()
+    fields = {'born': record.started_at, **changes}
+    bench.announce('p1', f'{record.host}:{record.port}', **fields)
+    await wait_until(lambda: find_record().order_key > record.order_key)
+
+
 def test_a_replaced_replica_is_removed_after_one_call() -> None:
     async def scenario(bench: PlatformBench) -> None:
         replica = await bench.add_replica('p1')
