Leave an upstream alone for the time that its refusal names

Callers saw: nothing yet.

Cause: an upstream's Retry-After was not read; an upstream that refuses calls is soon the least loaded one and is chosen again, by retries too.

Change: the field is decoded on 503 only; direct/upstreams keeps the time for one start; selection sees it as the wait that a limit makes. Where all ready upstreams wait the caller is told the shortest wait, also after a first refusal.

--- a/src/amaranthrail/direct/attempt.py
+++ b/src/amaranthrail/direct/attempt.py
@@ -138,6 +138,8 @@
     """Record what the upstream says of itself in a response to this call."""
     if metadata.replaced or metadata.attempt_id != call.metadata.attempt_id:
         return
+    if metadata.statement.pause_ms:
+        upstream.record_pause(metadata.statement.pause_ms)
     if metadata.statement.is_leaving:
         upstream.record_leaving()
     limit_per_s = metadata.statement.limit_per_s
--- a/src/amaranthrail/direct/call.py
+++ b/src/amaranthrail/direct/call.py
@@ -39,9 +39,7 @@
     executed the request, ``engine_load`` is the load of the group that decided
     the admission of a stream, and ``retry_reserved`` says that the next retry
     has already been taken from the retry budget. ``held_ms`` is the time for
-    which its prompt is kept from the engines, None where it is not, and
-    ``wait_ms`` the time until some upstream takes a call, None where one does
-    now or where there is none at all.
+    which its prompt is kept from the engines, None where it is not.
     """
 
     request: HttpRequest
@@ -60,7 +58,6 @@
     engine_load: GroupLoad | None = None
     retry_reserved: bool = False
     held_ms: float | None = None
-    wait_ms: float | None = None
 
     @property
     def tried_upstreams(self) -> frozenset[str]:
--- a/src/amaranthrail/direct/forward.py
+++ b/src/amaranthrail/direct/forward.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 from functools import partial
 
 import msgspec
@@ -159,7 +159,6 @@
         ]
         directory.sharing.record_call(call.service)
         admitted = self._admit(call, ready, views)
-        call.wait_ms = _least_wait_ms(admitted)
         view = select_upstream(admitted, self._random, self._loads.entries)
         chosen = None if view is None else directory.find(view.name)
         if view is None or chosen is None:
@@ -304,11 +303,12 @@
             cause = last_attempt.cause
         if call.may_have_run:
             return unknown_outcome(Reason.UPSTREAM_BROKEN, cause)
-        if call.wait_ms is not None and not call.choices:
+        wait_ms = self._cluster.directory.least_wait_ms(call.service)
+        if wait_ms:
             return not_run(
                 Reason.UPSTREAM_LIMIT,
                 f'upstreams of {call.service} take no more calls for now',
-                int(call.wait_ms) + choose_retry_after_ms(self._random),
+                int(wait_ms) + choose_retry_after_ms(self._random),
             )
         if call.engine_load is not None and not call.choices:
             remaining_ms = call.deadline - self._clock.now()
@@ -324,11 +324,6 @@
         )
 
 
-def _least_wait_ms(views: Iterable[UpstreamView]) -> float | None:
-    """Return the time until an upstream takes a call, None if one does now."""
-    return min((view.wait_ms for view in views), default=0) or None
-
-
 def _may_have_run(attempt: BufferedResponse | Failure) -> bool:
     return isinstance(attempt, BufferedResponse) or attempt.may_have_run
 
--- a/src/amaranthrail/direct/ports.py
+++ b/src/amaranthrail/direct/ports.py
@@ -121,11 +121,13 @@
 
     ``limit_per_s`` is the rate of calls that it takes from all entries
     together, None where it names none, and ``is_leaving`` says that it is about
-    to shut down.
+    to shut down. ``pause_ms`` is the time for which it wants no call from this
+    entry.
     """
 
     limit_per_s: float | None = None
     is_leaving: bool = False
+    pause_ms: float = 0
 
 
 class ResponseMetadata(msgspec.Struct, frozen=True):
--- a/src/amaranthrail/direct/upstreams.py
+++ b/src/amaranthrail/direct/upstreams.py
@@ -55,6 +55,7 @@
         self._other_calls_at = clock.now()
         self._active_at = clock.now()
         self._is_leaving = False
+        self._paused_until = 0.0
         self._group: GroupName | None = None
 
     @property
@@ -83,6 +84,12 @@
         is_ready = self._record.state is UpstreamState.READY
         return is_ready and not self._is_leaving
 
+    @property
+    def wait_ms(self) -> float:
+        """Return the time until it takes a call, 0 if it takes one now."""
+        pause_ms = max(0, self._paused_until - self._clock.now())
+        return max(pause_ms, self._rate_limit.wait_ms)
+
     @property
     def group(self) -> GroupName | None:
         """Return the group that it is a rank of, None where unknown."""
@@ -111,6 +118,17 @@
             _log_change('upstream is leaving', self._record)
         self._is_leaving = True
 
+    def record_pause(self, pause_ms: float) -> None:
+        """Record that the upstream wants no call from this entry for a time."""
+        until = self._clock.now() + pause_ms
+        if until > self._paused_until:
+            _log.info(
+                'upstream wants a pause',
+                upstream=self._record.name,
+                pause_ms=int(pause_ms),
+            )
+        self._paused_until = max(self._paused_until, until)
+
     def record_activity(self) -> None:
         """Record that the upstream has just sent data."""
         self._active_at = self._clock.now()
@@ -128,6 +146,7 @@
             self._health = Health()
             self._rate_limit = RateLimit(record, self._sharing)
             self._is_leaving = False
+            self._paused_until = 0
             self._group = None
         self._record = record
 
@@ -163,7 +182,7 @@
             self._group,
             is_same_domain=self._record.domain == domain,
             is_ejected=self._health.is_ejected(now),
-            wait_ms=self._rate_limit.wait_ms,
+            wait_ms=self.wait_ms,
         )
 
 
@@ -278,6 +297,19 @@
             if upstream is not None:
                 upstream.rate_limit.apply_report(report, host, started_at)
 
+    def least_wait_ms(self, service: ServiceName) -> float:
+        """Return the time until an upstream of a service takes a call.
+
+        The result is 0 where one takes a call now and where none is ready.
+        """
+        return min(
+            (
+                upstream.wait_ms
+                for upstream in self.ready_upstreams(service, frozenset())
+            ),
+            default=0,
+        )
+
     def ready_upstreams(
         self,
         service: ServiceName,
--- a/src/amaranthrail/platform/headers.py
+++ b/src/amaranthrail/platform/headers.py
@@ -25,6 +25,7 @@
 _PRIORITY = 'request-priority'
 _CREDENTIAL_SCHEME = 'token '
 _HTTP_MISDIRECTED = 421
+_HTTP_UNAVAILABLE = 503
 #: Numbers in replica-load: requests running, requests waiting, slots.
 _LOAD_NUMBERS = 3
 
@@ -108,7 +109,7 @@
         replaced=status == _HTTP_MISDIRECTED,
         encoded='content-encoding' in fields,
         load=_parse_load(fields.get('replica-load')),
-        statement=_read_statement(fields),
+        statement=_read_statement(status, fields),
     )
 
 
@@ -140,10 +141,16 @@
     return text[len(_CREDENTIAL_SCHEME) :].strip()
 
 
-def _read_statement(fields: Mapping[str, str]) -> UpstreamStatement:
+def _read_statement(
+    status: int, fields: Mapping[str, str]
+) -> UpstreamStatement:
+    pause_s: float | None = None
+    if status == _HTTP_UNAVAILABLE:
+        pause_s = _parse_decimal(fields.get('retry-after'))
     return UpstreamStatement(
         # Calls a second of all hosts together.
         limit_per_s=_parse_decimal(fields.get('server-limit')),
+        pause_ms=(pause_s or 0) * MS_PER_SECOND,
         is_leaving=fields.get('server-leaving', '').strip() == '1',
     )
 
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -9,7 +9,6 @@
 import trio
 
 from amaranthrail.adapters.httpserver import HttpRequest, ResponseWriter
-from amaranthrail.adapters.problem import send_json
 from amaranthrail.types import HeaderList
 
 _HTTP_OK = 200
@@ -49,8 +48,8 @@
 
     ``executed`` has the calls that began, ``refused`` and ``cancelled`` count
     calls. ``pause_s`` is the time of a call and between two events of a stream,
-    in seconds. ``statements`` are header fields that all responses to executed
-    calls have. ``record_run`` is called as a call begins.
+    in seconds. ``statements`` are header fields of all responses but those
+    with status 421. ``record_run`` is called as a call begins.
     """
 
     name: str
@@ -66,11 +65,19 @@
         """Respond to one call."""
         if request.header('expect-replica') != self.name:
             self.refused += 1
-            await send_json(reply, _HTTP_MISDIRECTED, {})
+            attempt_id = request.header('attempt-id') or ''
+            await reply.send(
+                _HTTP_MISDIRECTED, (('attempt-id', attempt_id),), b'{}'
+            )
             return
         if self.behaviour is Behaviour.SHEDDING:
             self.refused += 1
-            await reply.send(_HTTP_UNAVAILABLE, (('not-executed', '1'),), b'')
+            headers = (
+                ('attempt-id', request.header('attempt-id') or ''),
+                ('not-executed', '1'),
+                *self.statements,
+            )
+            await reply.send(_HTTP_UNAVAILABLE, headers, b'')
             return
         self.executed.append(request)
         if self.record_run is not None:
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -9,7 +9,7 @@
 import pytest
 
 from amaranthrail.direct.deployment import CallKind, Deployment, UpstreamState
-from amaranthrail.direct.ports import ForwardingFields
+from amaranthrail.direct.ports import ForwardingFields, UpstreamStatement
 from amaranthrail.exceptions import SettingError
 from amaranthrail.outcomes import Reason, not_run
 from amaranthrail.platform import headers, records, store
@@ -253,6 +253,30 @@
     assert numbers == load
 
 
+@pytest.mark.parametrize(
+    ('status', 'field', 'statement'),
+    [
+        (200, ('server-limit', '1.25'), UpstreamStatement(limit_per_s=1.25)),
+        (200, ('server-limit', '0'), UpstreamStatement(limit_per_s=0)),
+        (200, ('server-limit', '-1'), UpstreamStatement()),
+        (200, ('server-limit', 'nan'), UpstreamStatement()),
+        (200, ('server-limit', 'inf'), UpstreamStatement()),
+        (200, ('server-limit', 'few'), UpstreamStatement()),
+        (200, ('server-leaving', '1'), UpstreamStatement(is_leaving=True)),
+        (200, ('server-leaving', '0'), UpstreamStatement()),
+        (503, ('retry-after', '2.5'), UpstreamStatement(pause_ms=2500)),
+        # A failure of the call itself, and a date, which names no duration.
+        (500, ('retry-after', '2.5'), UpstreamStatement()),
+        (503, ('retry-after', 'Sat, 05 Dec 2026'), UpstreamStatement()),
+    ],
+)
+def test_what_an_upstream_says_of_itself_is_decoded(
+    status: int, field: tuple[str, str], statement: UpstreamStatement
+) -> None:
+    metadata = headers.read_response_metadata(status, (field,))
+    assert metadata.statement == statement
+
+
 def test_retry_after_has_fractions_of_a_second() -> None:
     refusal = not_run(Reason.NO_CAPACITY, '', 350)
     assert headers.build_refusal_headers(refusal) == (('retry-after', '0.350'),)
--- a/tests/test_ratelimits.py
+++ b/tests/test_ratelimits.py
@@ -1,11 +1,11 @@
-"""Test entries with upstreams that name a limit in their responses."""
+"""Test entries with upstreams that name a limit or want a pause."""
 
 from __future__ import annotations
 
 import trio
 
 from amaranthrail.adapters.httpserver import HttpRequest
-from standins.replica import Replica
+from standins.replica import Behaviour, Replica
 
 from .platformbench import (
     PlatformBench,
@@ -21,6 +21,9 @@
 ALLOWED_CALLS = 11
 GRACE_S = 3.0
 DURATION_S = 8.0
+#: Part of a pause of 1.2 s, and what is left at least of one of 20 s.
+MOST_OF_PAUSE_S = 1.0
+REST_OF_PAUSE_S = 5.0
 
 
 async def start_entries(bench: PlatformBench, count: int) -> list[RunningEntry]:
@@ -110,3 +113,45 @@
         assert sum(len(replica.executed) for replica in replicas) < 20
 
     run_on_platform(scenario)
+
+
+def test_a_replica_that_wants_a_pause_gets_no_call_meanwhile() -> None:
+    """Guards against calls, first ones and retries, that are refused again."""
+
+    async def scenario(bench: PlatformBench) -> None:
+        refusing = await bench.add_replica('p1')
+        refusing.behaviour = Behaviour.SHEDDING
+        refusing.statements = (('retry-after', '1.2'),)
+        await bench.add_replica('p2')
+        entry = (await start_entries(bench, 1))[0]
+        while not refusing.refused:
+            assert (await entry.call('/read/1')).status == 200
+        refused_at = trio.current_time()
+        while trio.current_time() < refused_at + MOST_OF_PAUSE_S:
+            assert (await entry.call('/read/1')).status == 200
+        assert refusing.refused == 1
+        refusing.behaviour = Behaviour.HEALTHY
+        await wait_until_executed(entry, refusing)
+
+    run_on_platform(scenario)
+
+
+async def wait_until_executed(entry: RunningEntry, replica: Replica) -> None:
+    while not replica.executed:
+        assert (await entry.call('/read/1')).status == 200
+
+
+def test_a_call_is_refused_at_once_while_all_replicas_want_a_pause() -> None:
+    async def scenario(bench: PlatformBench) -> None:
+        replicas = [await bench.add_replica(name) for name in ('p1', 'p2')]
+        for replica in replicas:
+            replica.behaviour = Behaviour.SHEDDING
+            replica.statements = (('retry-after', '20'),)
+        entry = (await start_entries(bench, 1))[0]
+        for _ in range(5):
+            response = await entry.call('/read/1')
+            assert response.status == 503
+        assert float(response.header('retry-after') or '0') > REST_OF_PAUSE_S
+        assert [replica.refused for replica in replicas] == [1, 1]
+
+    run_on_platform(scenario)
