Take a refusal as proof of not having run for its own call only

Cause: direct/attempt looked at Not-Executed and 421 before it compared the attempt id, so a refusal of any call, or of none, counted for the one that was waiting. A foreign 421 also removed the upstream.

Change: the id is compared first; a foreign response is an unknown outcome, removes nothing, and what it says of the upstream is ignored.

Ruled out: waiting on the same connection for the call's own response, which may follow: it may as well not, and a call that may be retried goes elsewhere at once.

--- a/src/amaranthrail/direct/attempt.py
+++ b/src/amaranthrail/direct/attempt.py
@@ -93,16 +93,10 @@
         exchange: HttpExchange,
         metadata: ResponseMetadata,
     ) -> BufferedResponse | Failure | None:
-        if metadata.replaced:
-            self._directory.remove(upstream.record.name, 'replaced')
-            return Failure(
-                'upstream was replaced',
-                may_have_run=False,
-                delivered=True,
-                misdirected=True,
-            )
         invalid = _check_head(call, metadata, exchange.status)
         if invalid is not None:
+            if invalid.misdirected:
+                self._directory.remove(upstream.record.name, 'replaced')
             return invalid
         if metadata.load is not None:
             upstream.record_load(metadata.load)
@@ -155,16 +149,24 @@
     status: int,
 ) -> Failure | None:
     """Return why a response head cannot be passed to the caller, if so."""
-    if metadata.not_executed:
+    # First of all: a refusal of another call says nothing about this one.
+    if metadata.attempt_id != call.metadata.attempt_id:
         return Failure(
-            f'refused with {status}',
+            'answer to another request',
+            may_have_run=True,
+            delivered=True,
+        )
+    if metadata.replaced:
+        return Failure(
+            'upstream was replaced',
             may_have_run=False,
             delivered=True,
+            misdirected=True,
         )
-    if metadata.attempt_id != call.metadata.attempt_id:
+    if metadata.not_executed:
         return Failure(
-            'answer to another request',
-            may_have_run=True,
+            f'refused with {status}',
+            may_have_run=False,
             delivered=True,
         )
     if metadata.encoded:
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
+from types import MappingProxyType
 
 import trio
 
@@ -12,6 +13,8 @@
 from amaranthrail.types import HeaderList
 
 _HTTP_OK = 200
+_HTTP_NO_CONTENT = 204
+_HTTP_NOT_FOUND = 404
 _HTTP_MISDIRECTED = 421
 _HTTP_SERVER_ERROR = 500
 _HTTP_UNAVAILABLE = 503
@@ -27,7 +30,11 @@
     the middle of an event. UNRESPONSIVE sends nothing, STALLING stops in the
     middle of a stream. WRONG_ATTEMPT_ID returns the attempt id of another call,
     UNSIGNED omits the replica signature and ENCODED declares a
-    content-encoding.
+    content-encoding. REPEATING_REFUSAL and
+    REPEATING_MISDIRECTED execute a call and respond with an earlier call's 503
+    or 421, ANONYMOUS_REFUSAL with one that
+    states no attempt id. NOT_FOUND responds with 404, EMPTY with 204, and PLAIN
+    with a text that could be an event, also on routes with streams.
     """
 
     HEALTHY = 'sound'
@@ -40,6 +47,40 @@
     WRONG_ATTEMPT_ID = 'crossed'
     UNSIGNED = 'unsigned'
     ENCODED = 'encoded'
+    REPEATING_REFUSAL = 'repeating-refusal'
+    REPEATING_MISDIRECTED = 'repeating-misdirected'
+    ANONYMOUS_REFUSAL = 'anonymous-refusal'
+    NOT_FOUND = 'not-found'
+    EMPTY = 'empty'
+    PLAIN = 'plain'
+
+
+#: Status and further fields of refusals that do not belong to the call.
+_FOREIGN_REFUSALS = MappingProxyType(
+    {
+        Behaviour.REPEATING_REFUSAL: (
+            _HTTP_UNAVAILABLE,
+            (('attempt-id', 'of-another'), ('not-executed', '1')),
+        ),
+        Behaviour.REPEATING_MISDIRECTED: (
+            _HTTP_MISDIRECTED,
+            (('attempt-id', 'of-another'),),
+        ),
+        Behaviour.ANONYMOUS_REFUSAL: (
+            _HTTP_UNAVAILABLE,
+            (('not-executed', '1'),),
+        ),
+    }
+)
+#: Status and body of responses to executed calls that are no streams.
+_PLAIN_RESPONSES = MappingProxyType(
+    {
+        Behaviour.FAILING: (_HTTP_SERVER_ERROR, b'failed'),
+        Behaviour.NOT_FOUND: (_HTTP_NOT_FOUND, b'not found\n\n'),
+        Behaviour.EMPTY: (_HTTP_NO_CONTENT, b''),
+        Behaviour.PLAIN: (_HTTP_OK, b'a text\n\n'),
+    }
+)
 
 
 @dataclass
@@ -99,16 +140,27 @@
             headers.append(('content-encoding', 'gzip'))
         return (*headers, *self.statements)
 
+    def _special_response(
+        self, request: HttpRequest
+    ) -> tuple[int, HeaderList, bytes] | None:
+        """Return what some behaviours respond with on all routes."""
+        refusal = _FOREIGN_REFUSALS.get(self.behaviour)
+        if refusal:
+            return (*refusal, b'')
+        response = _PLAIN_RESPONSES.get(self.behaviour)
+        if response:
+            return response[0], self._headers(request), response[1]
+        return None
+
     async def _execute(
         self, request: HttpRequest, reply: ResponseWriter
     ) -> None:
         if self.behaviour is Behaviour.UNRESPONSIVE:
             await trio.sleep_forever()
         await trio.sleep(self.pause_s)
-        if self.behaviour is Behaviour.FAILING:
-            await reply.send(
-                _HTTP_SERVER_ERROR, self._headers(request), b'failed'
-            )
+        response = self._special_response(request)
+        if response:
+            await reply.send(*response)
         elif request.path.startswith('/stream/'):
             await self._send_stream(request, reply)
         elif self.behaviour is Behaviour.TRUNCATING:
