Continue a begun stream with event streams only

Callers saw (report of other operators): the text of an error, or a false end, in the middle of their stream. An error with 500 did no harm, but only since the parser refuses a second head.

Cause: a response to a call that resumes was judged like one to a first call.

Change: once the caller has the head of its stream, any response but status 200 with text/event-stream is a failure of that attempt: it is logged with its status (call: sent again, call: stream aborted), retried within the usual bounds, and its bytes go nowhere.

Ruled out: checking the events' ids against the last one, since ids need not be numbers without gaps.

--- a/src/amaranthrail/direct/attempt.py
+++ b/src/amaranthrail/direct/attempt.py
@@ -11,8 +11,10 @@
 from .relay import StreamRelay
 from .upstreams import Directory, Upstream
 
+_HTTP_OK = 200
 _FIRST_SERVER_ERROR = 500
 _FIRST_NON_SUCCESS = 300
+_EVENT_STREAM = 'text/event-stream'
 
 
 class AttemptSender:
@@ -100,6 +102,15 @@
             return invalid
         if metadata.load is not None:
             upstream.record_load(metadata.load)
+        if relay.has_started and not _is_event_stream(exchange):
+            self._record_result(
+                upstream, failed=exchange.status >= _FIRST_SERVER_ERROR
+            )
+            return Failure(
+                f'begun stream continued with status {exchange.status}',
+                may_have_run=True,
+                delivered=True,
+            )
         headers = self._wire_format.response_headers(exchange.headers)
         if call.route.streaming and exchange.status < _FIRST_NON_SUCCESS:
             failure = await relay.relay_response(
@@ -123,6 +134,14 @@
             upstream.health.record_success()
 
 
+def _is_event_stream(exchange: HttpExchange) -> bool:
+    """Tell whether a response may continue a stream that has begun."""
+    content_type = dict(exchange.headers).get('content-type', '').lower()
+    return exchange.status == _HTTP_OK and content_type.startswith(
+        _EVENT_STREAM
+    )
+
+
 def _record_statement(
     call: Call,
     upstream: Upstream,
--- a/src/amaranthrail/direct/relay.py
+++ b/src/amaranthrail/direct/relay.py
@@ -68,6 +68,11 @@
         """Return how many whole events have been relayed."""
         return self._splitter.events
 
+    @property
+    def has_started(self) -> bool:
+        """Tell whether the caller has the head of the stream."""
+        return self._reply.started
+
     @property
     def has_begun(self) -> bool:
         """Tell whether an event of the latest attempt has been relayed."""
