Choose upstreams that refuse calls after those that accept them

Callers saw: refusals although half of the upstreams accepted calls, since each refused attempt costs a retry of a budget that all entries share.

Cause: a refusal left no trace. Upstreams that refuse look healthy and less loaded, so they were chosen first, again and again. Load pattern: half of the upstreams refuse 0.6 of their calls.

--- a/src/amaranthrail/direct/attempt.py
+++ b/src/amaranthrail/direct/attempt.py
@@ -96,6 +96,8 @@
         metadata: ResponseMetadata,
     ) -> BufferedResponse | Failure | None:
         invalid = _check_head(call, metadata, exchange.status)
+        is_refused = invalid is not None and not invalid.may_have_run
+        upstream.health.record_admission(self._clock.now(), refused=is_refused)
         if invalid is not None:
             if invalid.misdirected:
                 self._directory.remove(upstream.record.name, 'replaced')
--- a/src/amaranthrail/direct/upstreams.py
+++ b/src/amaranthrail/direct/upstreams.py
@@ -182,6 +182,7 @@
             self._group,
             is_same_domain=self._record.domain == domain,
             is_ejected=self._health.is_ejected(now),
+            is_refusing=self._health.is_refusing(now),
             wait_ms=self.wait_ms,
         )
 
--- a/src/amaranthrail/policy/selection.py
+++ b/src/amaranthrail/policy/selection.py
@@ -39,8 +39,9 @@
 
     ``own_calls`` counts this entry's calls in flight there, ``other_calls`` is
     the estimate of all other work, ``group`` is the group that it is a rank of,
-    and ``is_ejected`` says that its recent calls failed. ``wait_ms`` is the
-    time until it takes a call, 0 if it takes one now.
+    and ``is_ejected`` says that its recent calls failed, ``is_refusing`` that
+    it refused many of them. ``wait_ms`` is the time until it takes a call, 0 if
+    it takes one now.
     """
 
     name: str
@@ -50,6 +51,7 @@
     group: GroupName | None = None
     is_same_domain: bool = False
     is_ejected: bool = False
+    is_refusing: bool = False
     wait_ms: float = 0
 
     @property
@@ -75,8 +77,9 @@
 ) -> UpstreamView | None:
     """Return the upstream of least cost, None if none takes a call.
 
-    Ejected upstreams are selected only where no other is available, and full
-    ones only where no other has a free slot. Where several ``entries`` place
+    Ejected upstreams are selected only where no other is available, full ones
+    only where no other has a free slot, and ones that refuse calls only where
+    no other with a free slot accepts them. Where several ``entries`` place
     calls, a random sample is compared. Upstreams of equal cost are selected at
     random.
     """
@@ -89,7 +92,8 @@
     free = [
         view for view in healthy if view.load_per_slot <= FREE_LOAD_PER_SLOT
     ]
-    candidates = free or healthy
+    accepting = [view for view in free if not view.is_refusing]
+    candidates = accepting or free or healthy
     if not candidates:
         return None
     compared = max(MIN_COMPARED, math.ceil(len(candidates) / entries))
--- a/tests/test_direct_policy.py
+++ b/tests/test_direct_policy.py
@@ -6,7 +6,11 @@
 
 import pytest
 
-from amaranthrail.policy.outliers import MAX_EJECTION_MS, Health
+from amaranthrail.policy.outliers import (
+    MAX_EJECTION_MS,
+    REFUSAL_HALF_LIFE_MS,
+    Health,
+)
 from amaranthrail.policy.rebalancing import (
     HIGH_LOAD_INTERVAL_MS,
     MODERATE_LOAD_INTERVAL_MS,
@@ -30,6 +34,9 @@
 from amaranthrail.policy.windowbudget import WindowRetryBudget
 from amaranthrail.ranks.controller import CYCLE_MS
 
+#: Calls of one entry, a second, where half of the upstreams refuse this share.
+REFUSING_CALLS_PER_S = 10
+REFUSED_SHARE = 0.6
 TARGET_GAP_MS = 120.0
 #: Bounds on retries, as the users' specifications state them.
 RATIO = 0.2
@@ -137,6 +144,36 @@
     assert (ejected_count > 200) is is_ejected
 
 
+def test_upstreams_that_refuse_calls_cost_few_retries() -> None:
+    """Half of them refuse 0.6 of their calls; the others have room for all."""
+    rng = random.Random(5)
+    health = {f'u{number}': Health() for number in range(16)}
+    refused_count = 0
+    for call in range(2000):
+        now = call * 1000 / REFUSING_CALLS_PER_S
+        views = [
+            UpstreamView(
+                name, 6, 0, rng.randrange(5), is_refusing=each.is_refusing(now)
+            )
+            for name, each in health.items()
+        ]
+        chosen = select_upstream(views, rng, 4)
+        assert chosen is not None
+        is_faulty = int(chosen.name[1:]) < 8
+        refuses = is_faulty and rng.random() < REFUSED_SHARE
+        health[chosen.name].record_admission(now, refused=refuses)
+        refused_count += refuses
+    assert refused_count < RATIO * 2000
+
+
+def test_an_upstream_that_has_stopped_refusing_is_tried_again() -> None:
+    health = Health()
+    for now in range(10):
+        health.record_admission(now, refused=True)
+    assert health.is_refusing(10)
+    assert not health.is_refusing(3 * REFUSAL_HALF_LIFE_MS)
+
+
 @pytest.mark.parametrize('entries', [1, 4, 5, 12])
 def test_retries_of_all_entries_stay_within_the_bound(entries: int) -> None:
     """Replays the failure of a third of a service, with immediate retries."""
