Count refusals of the call itself only, and let the end of a limit not drift

Cause: found while reading the diff. A response to another call counted as an accepted one in the refusal rate; the reported end of a limit moved forward by the time that each report is under way, a millisecond or two each time it went round. Change: a foreign response is left out; a reported end counts if it is later than the known one by more than reports of the same response differ. The tests of the files concerned pass.

--- a/src/amaranthrail/direct/attempt.py
+++ b/src/amaranthrail/direct/attempt.py
@@ -96,8 +96,10 @@
         metadata: ResponseMetadata,
     ) -> BufferedResponse | Failure | None:
         invalid = _check_head(call, metadata, exchange.status)
-        is_refused = invalid is not None and not invalid.may_have_run
-        upstream.health.record_admission(self._clock.now(), refused=is_refused)
+        if invalid is None or not invalid.may_have_run:
+            upstream.health.record_admission(
+                self._clock.now(), refused=invalid is not None
+            )
         if invalid is not None:
             if invalid.misdirected:
                 self._directory.remove(upstream.record.name, 'replaced')
--- a/src/amaranthrail/direct/ratelimits.py
+++ b/src/amaranthrail/direct/ratelimits.py
@@ -196,7 +196,9 @@
         if named_at > self._named_at + SAME_RESPONSE_MS:
             self._name(report.per_s, named_at, host)
         if report.ended_age_ms is not None:
-            self._end(now - report.ended_age_ms, host)
+            ended_at = now - report.ended_age_ms
+            if ended_at > self._ended_at + SAME_RESPONSE_MS:
+                self._end(ended_at, host)
         self._peers[host] = _replace_use(
             self._peers.get(host), report, peer_started_at, now
         )
