Soak entries with refusals of other calls and with limits

Change: replicas that repeat an earlier call's 503 or 421 for a call that they run, and replicas that name a limit of one call a second for 8 s; these faults are drawn from a generator of their own, so a seed keeps the faults that it had. A check counts the calls at a limited replica in 4 s, from 3 s on, without those of entries that a fault hit since.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -18,6 +18,11 @@
 #: Time for which no fault may have been present before an event for a
 #: guarantee with a time bound to hold, in seconds.
 FAULT_FREE_S = 3.0
+#: Calls a second that a limited replica takes, the window over which that is
+#: checked, in seconds, and the calls that are allowed in it.
+LIMIT_PER_S = 1.0
+LIMIT_WINDOW_S = 4.0
+MAX_LIMITED_CALLS = 1.5 * LIMIT_PER_S * LIMIT_WINDOW_S + 5
 #: Subjects of faults that are not one entry or one replica.
 STORE = ''
 ALL_PROCESSES = 'everyone'
@@ -61,7 +66,8 @@
 
     ``unplanned_faults`` has each fault that excuses failures, by the host or
     replica that it hit, or STORE or ALL_PROCESSES; ``drains`` the replicas that
-    announced that they drain; ``shutdowns`` the entries that got SIGTERM;
+    announced that they drain, ``limits`` those that named LIMIT_PER_S;
+    ``shutdowns`` the entries that got SIGTERM;
     ``outdated_entries`` those that do not serve the newest configuration at
     the end. Calls from ``recovered_from`` on must be served.
     """
@@ -70,6 +76,7 @@
     executions: list[Execution] = field(default_factory=list)
     unplanned_faults: list[Interval] = field(default_factory=list)
     drains: list[Interval] = field(default_factory=list)
+    limits: list[Interval] = field(default_factory=list)
     shutdowns: list[Interval] = field(default_factory=list)
     recovered_from: float = 0
     unready_entries: list[str] = field(default_factory=list)
@@ -85,6 +92,7 @@
         *_false_refusals(observations),
         *_unrequested_executions(observations),
         *_executions_after_drain(observations),
+        *_executions_beyond_limits(observations),
         *_calls_cut_by_shutdown(observations),
         *_missing_recovery(observations),
         *(
@@ -164,6 +172,32 @@
                 )
 
 
+def _executions_beyond_limits(observations: Observations) -> Iterator[str]:
+    """Report limited replicas that got too many calls from entries at ease."""
+    hosts = {call.attempt: call.host for call in observations.calls}
+    for limit in observations.limits:
+        times = [
+            execution.started_at
+            for execution in observations.executions
+            if execution.replica == limit.subject
+            and limit.starts_at + FAULT_FREE_S < execution.started_at
+            and execution.started_at < limit.ends_at
+            and not _is_disturbed(
+                observations,
+                limit.starts_at,
+                execution.started_at,
+                (ALL_PROCESSES, hosts.get(execution.attempt, '')),
+            )
+        ]
+        most = max((_count_within(times, at) for at in times), default=0)
+        if most > MAX_LIMITED_CALLS:
+            yield f'{limit.subject} got {most} calls in 4 s despite its limit'
+
+
+def _count_within(times: Iterable[float], starts_at: float) -> int:
+    return sum(starts_at <= at < starts_at + LIMIT_WINDOW_S for at in times)
+
+
 def _late_executions(
     executions: Iterable[Execution], drain: Interval
 ) -> Iterator[Execution]:
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -3,17 +3,22 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum
 
 #: Mean number of faults that start in a second; most last longer, so they
 #: overlap.
 FAULTS_PER_S = 0.9
+#: The same for the faults in _ADDED_FAULTS.
+ADDED_FAULTS_PER_S = 0.25
 #: Time without faults at the start of a run, in seconds.
 FAULT_FREE_START_S = 1.0
 #: Shortest and longest duration of a fault, in seconds.
 MIN_FAULT_S = 0.3
 MAX_FAULT_S = 3.0
+#: Duration of a limit, in seconds: it is checked over 4 s, from 3 s on.
+LIMITED_S = 8.0
 
 
 class Fault(Enum):
@@ -51,6 +56,18 @@
     REPLICA_DRAINED = 'replica-leaves'
     REPLICA_REPLACED = 'replica-replaced'
     CONFIGURATION_CHANGED = 'configuration-changed'
+    REPLICA_REPEATING_REFUSAL = 'replica-repeating-refusal'
+    REPLICA_REPEATING_MISDIRECTED = 'replica-repeating-misdirected'
+    REPLICA_LIMITED = 'replica-limited'
+
+
+#: Faults that are drawn from a generator of their own, so that a seed keeps the
+#: other faults that it had before these were added.
+_ADDED_FAULTS = (
+    Fault.REPLICA_REPEATING_REFUSAL,
+    Fault.REPLICA_REPEATING_MISDIRECTED,
+    Fault.REPLICA_LIMITED,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,15 +90,32 @@
 
 def schedule_faults(seed: int, seconds: float) -> tuple[ScheduledFault, ...]:
     """Return the faults of a run of ``seconds``, sorted by start time."""
-    generator = random.Random(seed)
-    last_start_s = max(FAULT_FREE_START_S, seconds - MAX_FAULT_S)
+    earlier_faults = [fault for fault in Fault if fault not in _ADDED_FAULTS]
     faults = [
-        ScheduledFault(
+        *_draw_faults(
+            random.Random(seed), earlier_faults, seconds, FAULTS_PER_S
+        ),
+        *_draw_faults(
+            random.Random(f'added {seed}'),
+            list(_ADDED_FAULTS),
+            seconds,
+            ADDED_FAULTS_PER_S,
+        ),
+    ]
+    return tuple(sorted(faults, key=lambda scheduled: scheduled.starts_s))
+
+
+def _draw_faults(
+    generator: random.Random,
+    kinds: list[Fault],
+    seconds: float,
+    faults_per_s: float,
+) -> Iterator[ScheduledFault]:
+    last_start_s = max(FAULT_FREE_START_S, seconds - MAX_FAULT_S)
+    for _ in range(max(1, round(faults_per_s * seconds))):
+        yield ScheduledFault(
             generator.uniform(FAULT_FREE_START_S, last_start_s),
             generator.uniform(MIN_FAULT_S, MAX_FAULT_S),
-            generator.choice(list(Fault)),
+            generator.choice(kinds),
             generator.randrange(1000),
         )
-        for _ in range(max(1, round(FAULTS_PER_S * seconds)))
-    ]
-    return tuple(sorted(faults, key=lambda scheduled: scheduled.starts_s))
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -30,12 +30,13 @@
     ALL_PROCESSES,
     DRAIN_GRACE_S,
     FAULT_FREE_S,
+    LIMIT_PER_S,
     STORE,
     Execution,
     Interval,
     Observations,
 )
-from .schedule import Fault, ScheduledFault
+from .schedule import LIMITED_S, Fault, ScheduledFault
 
 _HTTP_OK = 200
 #: Last lines of an entry's log that are printed where a check of it fails.
@@ -58,6 +59,7 @@
         Fault.ENTRY_SHUT_DOWN,
         Fault.ENTRY_RELOADED,
         Fault.REPLICA_DRAINED,
+        Fault.REPLICA_LIMITED,
         Fault.CONFIGURATION_CHANGED,
     ),
 )
@@ -79,6 +81,8 @@
         Fault.REPLICA_WRONG_ATTEMPT_ID: Behaviour.WRONG_ATTEMPT_ID,
         Fault.REPLICA_UNSIGNED: Behaviour.UNSIGNED,
         Fault.REPLICA_ENCODED: Behaviour.ENCODED,
+        Fault.REPLICA_REPEATING_REFUSAL: Behaviour.REPEATING_REFUSAL,
+        Fault.REPLICA_REPEATING_MISDIRECTED: Behaviour.REPEATING_MISDIRECTED,
     }
 )
 
@@ -332,6 +336,8 @@
             )
             replica.behaviour = Behaviour.HEALTHY
             return lambda: self._was_called(host, replica, calls_before)
+        if scheduled.fault is Fault.REPLICA_LIMITED:
+            return await self._limit(replica)
         if scheduled.fault is Fault.REPLICA_DRAINED:
             return await self._drain(scheduled, host)
         if scheduled.fault is Fault.REPLICA_REPLACED:
@@ -356,6 +362,17 @@
             await trio.sleep(scheduled.duration_s)
             relay.delay(0)
 
+    async def _limit(self, replica: Replica) -> EffectCheck:
+        """Name a limit for a while; overlapping limits end with the first."""
+        started_at = time.time()
+        replica.statements = (('server-limit', f'{LIMIT_PER_S}'),)
+        await trio.sleep(LIMITED_S)
+        interval = Interval(started_at, time.time(), replica.name)
+        if replica.statements:
+            self.observations.limits.append(interval)
+        replica.statements = ()
+        return lambda: True
+
     async def _drain(
         self, scheduled: ScheduledFault, host: ReplicaHost
     ) -> EffectCheck:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -58,6 +58,24 @@
     return ' '.join(find_violations(observations))
 
 
+def test_the_soak_detects_calls_beyond_a_limit() -> None:
+    executions = tuple(
+        execution(attempt=f'c1-{number}', started_at=104 + number / 10)
+        for number in range(12)
+    )
+    limit = Interval(100, 108, 'r1')
+    assert 'despite its limit' in violations(
+        executions=executions, limits=[limit]
+    )
+    assert 'despite its limit' not in violations(
+        executions=executions[1:], limits=[limit]
+    )
+    disturbed = [Interval(101, 102, ALL_PROCESSES)]
+    assert 'despite its limit' not in violations(
+        executions=executions, limits=[limit], unplanned_faults=disturbed
+    )
+
+
 def test_a_faultless_run_has_no_violations() -> None:
     assert not violations(call_record(), executions=(execution(),))
 
