Let each test process claim its ports

Change: a process takes the first range whose first port it can bind, and holds that socket as a lock as long as it runs. test_test_workers_have_disjoint_port_ranges (two names of workers) is replaced by test_no_two_processes_are_dealt_the_same_ports, which is stricter: any processes, another one started by the test among them.

Ruled out: ports chosen by the system, as they lie among those of outgoing connections.

--- a/standins/calling.py
+++ b/standins/calling.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import itertools
 import json
-import os
 import random
 import socket
 import time
@@ -17,7 +17,9 @@
 LOOPBACK = '127.0.0.1'
 _POLL_INTERVAL_S = 0.02
 _PORT_RANGE = range(10_000, 30_000)
-_MAX_TEST_WORKERS = 8
+#: Ranges that processes claim, one each: some test runs of four to eight
+#: workers fit beside each other.
+_PORT_RANGES = 40
 
 
 @dataclass
@@ -81,18 +83,35 @@
     They lie below the ephemeral ports that systems use for outgoing
     connections, so that no connection takes a port before its process listens.
     """
-    return list(itertools.islice(_FREE_PORTS, count))
+    return list(itertools.islice(_claim_own_ports()[1], count))
 
 
-def worker_ports(worker: str) -> range:
-    """Return the port range of one pytest-xdist worker, such as ``gw1``.
+def claim_port_range() -> tuple[socket.socket, range]:
+    """Return ports that no other process is dealt, and the lock on them.
 
-    The ranges are disjoint, because a port that one worker has allotted may
-    not be listened on yet and would seem free to another.
+    A port that one process has allotted may not be listened on yet and would
+    seem free to another, of this test run or of one beside it. The lock is a
+    socket on the first port of the range; the range is free again once it is
+    closed. Raises RuntimeError where all ranges are taken.
     """
-    worker_number = int(worker.removeprefix('gw') or 0) % _MAX_TEST_WORKERS
-    size = len(_PORT_RANGE) // _MAX_TEST_WORKERS
-    return _PORT_RANGE[worker_number * size : (worker_number + 1) * size]
+    size = len(_PORT_RANGE) // _PORT_RANGES
+    for first in _PORT_RANGE[::size]:
+        lock = socket.socket()
+        try:
+            lock.bind((LOOPBACK, first))
+        except OSError:
+            lock.close()
+            continue
+        lock.listen()
+        return lock, range(first + 1, first + size)
+    raise RuntimeError('all port ranges are taken; end other test runs')
+
+
+@functools.cache
+def _claim_own_ports() -> tuple[socket.socket, Iterator[int]]:
+    """Return the ports of this process and their lock, kept by the cache."""
+    lock, ports = claim_port_range()
+    return lock, iterate_free_ports(ports)
 
 
 def iterate_free_ports(ports: range) -> Iterator[int]:
@@ -118,8 +137,3 @@
         if time.monotonic() > deadline:
             raise TimeoutError('the condition did not become true in time')
         time.sleep(_POLL_INTERVAL_S)
-
-
-_FREE_PORTS = iterate_free_ports(
-    worker_ports(os.environ.get('PYTEST_XDIST_WORKER', ''))
-)
--- a/tests/test_calling.py
+++ b/tests/test_calling.py
@@ -4,13 +4,15 @@
 
 import itertools
 import socket
+import subprocess
+import sys
 
 from standins.calling import (
     LOOPBACK,
+    claim_port_range,
     free_ports,
     is_listening,
     iterate_free_ports,
-    worker_ports,
 )
 
 
@@ -20,10 +22,17 @@
     assert not set(first) & set(second)
 
 
-def test_test_workers_have_disjoint_port_ranges() -> None:
-    first, second = worker_ports('gw0'), worker_ports('gw1')
-    assert not set(first) & set(second)
-    assert worker_ports('') == first
+def test_no_two_processes_are_dealt_the_same_ports() -> None:
+    """Guards against 'Address already in use' in runs beside each other."""
+    claims = [claim_port_range() for _ in range(3)]
+    ports = [port for _, claimed in claims for port in claimed]
+    assert len(ports) == len(set(ports))
+    assert not set(ports) & set(free_ports(10))
+    code = 'from standins.calling import free_ports; print(*free_ports(50))'
+    output = subprocess.check_output([sys.executable, '-c', code], text=True)
+    assert not set(ports) & {int(port) for port in output.split()}
+    for lock, _ in claims:
+        lock.close()
 
 
 def test_a_port_in_use_is_not_allotted() -> None:
