Let the other streams of a test be cut at a stalled upstream

Change: the loop, whose calls only show that others of the service go on, accepts that; what is asserted of the first stream is as before.

--- a/tests/test_direct_path.py
+++ b/tests/test_direct_path.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from functools import partial
 
 import pytest
@@ -527,7 +528,9 @@
                 lambda: len(entry.entry.cluster_state.directory) == 2
             )
             while not responses:
-                await call('/stream/2', 'POST')
+                # One that the stalled upstream gets is cut at its deadline.
+                with contextlib.suppress(HttpError):
+                    await call('/stream/2', 'POST')
         response = responses[0]
         assert (response.status, response.body) == (200, COMPLETE_STREAM)
         assert stalled.cancelled
