--- a/tests/test_shared_loads.py
+++ b/tests/test_shared_loads.py
@@ -13,6 +13,7 @@
 from amaranthrail.direct.deployment import UpstreamRecord, UpstreamState
 from amaranthrail.direct.loads import REPORT_EXPIRY_MS, SharedLoads
 from amaranthrail.direct.peermessages import (
+    LimitReport,
     LoadReport,
     decode_load_report,
     encode_message,
@@ -58,7 +59,8 @@
 
 
 def test_a_report_survives_encoding_and_decoding() -> None:
-    report = LoadReport({'e1': 3}, ['10.0.0.3'], 1000, 2000)
+    limits = [LimitReport('e1', 900, 1.25, 40, None, 3.5, 2)]
+    report = LoadReport({'e1': 3}, ['10.0.0.3'], 1000, 2000, limits=limits)
     assert decode_load_report(encode_message(report)) == report
     with pytest.raises(msgspec.DecodeError):
         decode_load_report(b'\xff')
