--- a/src/amaranthrail/direct/ratelimits.py
+++ b/src/amaranthrail/direct/ratelimits.py
@@ -37,7 +37,7 @@
 
 
 class LimitSharing:
-    """Hold what the limits of all upstreams are shared out by."""
+    """Hold what decides this entry's part of any upstream's limit."""
 
     def __init__(self, clock: Clock) -> None:
         """Start as the only entry, without calls."""
@@ -110,10 +110,11 @@
 
 
 class RateLimit:
-    """Hold the limit that one upstream names, and the entries that use it.
+    """Hold the limit that one upstream names, and who has used it.
 
     The limit is in force until a response to a call sent after it was named
-    does not name it.
+    does not name it. While it is, a call needs a permit: ``wait_ms`` is 0 where
+    there is one, and ``record_call`` takes it.
     """
 
     def __init__(self, record: UpstreamRecord, sharing: LimitSharing) -> None:
--- a/src/amaranthrail/direct/upstreams.py
+++ b/src/amaranthrail/direct/upstreams.py
@@ -41,8 +41,8 @@
     ) -> None:
         """Start with no calls in flight and with no failures.
 
-        ``sharing`` is what a limit of the upstream is shared out by, this entry
-        alone by default.
+        ``sharing`` decides this entry's part of a limit that the upstream
+        names; by default it is the only entry.
         """
         self._record = record
         self._sharing = sharing or LimitSharing(clock)
@@ -210,7 +210,7 @@
 
     @property
     def sharing(self) -> LimitSharing:
-        """Return what limits of upstreams are shared out by."""
+        """Return what decides this entry's part of upstreams' limits."""
         return self._sharing
 
     @property
