Bound the figures that an upstream states of itself

Cause: found while reading the diff: a Retry-After of 1e306 seconds or a limit of 1e308 became infinite, and counting with it raised OverflowError, which ended the entry. Evidence: test_figures_beyond_reason_end_no_entry failed before (the entry's task group ended with OverflowError), passes. Change: platform/headers takes numbers beyond 1e9 as that.

--- a/src/amaranthrail/platform/headers.py
+++ b/src/amaranthrail/platform/headers.py
@@ -26,6 +26,8 @@
 _CREDENTIAL_SCHEME = 'token '
 _HTTP_MISDIRECTED = 421
 _HTTP_UNAVAILABLE = 503
+#: Largest number of seconds, or of calls a second, that is told apart.
+_MAX_DECIMAL = 1e9
 #: Numbers in replica-load: requests running, requests waiting, slots.
 _LOAD_NUMBERS = 3
 
@@ -156,12 +158,15 @@
 
 
 def _parse_decimal(text: str | None) -> float | None:
-    """Return a finite number of at least 0, None for anything else."""
+    """Return a finite number of at least 0, None for anything else.
+
+    Numbers beyond _MAX_DECIMAL are taken as that.
+    """
     try:
         number = float(text or '')
     except ValueError:
         return None
-    return number if 0 <= number < math.inf else None
+    return min(number, _MAX_DECIMAL) if 0 <= number < math.inf else None
 
 
 def _parse_millis(text: str | None) -> Millis | None:
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -258,6 +258,7 @@
     [
         (200, ('server-limit', '1.25'), UpstreamStatement(limit_per_s=1.25)),
         (200, ('server-limit', '0'), UpstreamStatement(limit_per_s=0)),
+        (200, ('server-limit', '1e308'), UpstreamStatement(limit_per_s=1e9)),
         (200, ('server-limit', '-1'), UpstreamStatement()),
         (200, ('server-limit', 'nan'), UpstreamStatement()),
         (200, ('server-limit', 'inf'), UpstreamStatement()),
@@ -265,6 +266,7 @@
         (200, ('server-leaving', '1'), UpstreamStatement(is_leaving=True)),
         (200, ('server-leaving', '0'), UpstreamStatement()),
         (503, ('retry-after', '2.5'), UpstreamStatement(pause_ms=2500)),
+        (503, ('retry-after', '1e308'), UpstreamStatement(pause_ms=1e12)),
         # A failure of the call itself, and a date, which names no duration.
         (500, ('retry-after', '2.5'), UpstreamStatement()),
         (503, ('retry-after', 'Sat, 05 Dec 2026'), UpstreamStatement()),
--- a/tests/test_ratelimits.py
+++ b/tests/test_ratelimits.py
@@ -141,6 +141,24 @@
         assert (await entry.call('/read/1')).status == 200
 
 
+def test_figures_beyond_reason_end_no_entry() -> None:
+    """Guards against a faulty replica whose figures end each entry."""
+
+    async def scenario(bench: PlatformBench) -> None:
+        replicas = [await bench.add_replica(name) for name in ('p1', 'p2')]
+        replicas[0].behaviour = Behaviour.SHEDDING
+        replicas[0].statements = (('retry-after', '1e306'),)
+        replicas[1].statements = (('server-limit', '1e308'),)
+        entry = (await start_entries(bench, 1))[0]
+        while not replicas[0].refused:
+            assert (await entry.call('/read/1')).status == 200
+        for _ in range(5):
+            assert (await entry.call('/read/1')).status == 200
+        assert replicas[0].refused == 1
+
+    run_on_platform(scenario)
+
+
 def test_a_call_is_refused_at_once_while_all_replicas_want_a_pause() -> None:
     async def scenario(bench: PlatformBench) -> None:
         replicas = [await bench.add_replica(name) for name in ('p1', 'p2')]
