Take a count of too many digits for no count

Callers saw: nothing reported. A request with a Length-Hint of 5,000 digits, or a response with such a Replica-Load, ended the entry with all its calls.

Cause: int() raises ValueError for more than 4,300 digits, which nothing caught; isdecimal() had let them through. Evidence: test_numbers_of_thousands_of_digits_end_no_entry failed before (ValueError in the entry's task group), passes. Change: counts of more than 18 digits are none. What remains: an exception in the handling of one request still ends the entry.

--- a/src/amaranthrail/platform/headers.py
+++ b/src/amaranthrail/platform/headers.py
@@ -26,6 +26,8 @@
 _CREDENTIAL_SCHEME = 'token '
 _HTTP_MISDIRECTED = 421
 _HTTP_UNAVAILABLE = 503
+#: Most digits of a count; int() raises ValueError for some thousands.
+_MAX_DIGITS = 18
 #: Largest number of seconds, or of calls a second, that is told apart.
 _MAX_DECIMAL = 1e9
 #: Numbers in replica-load: requests running, requests waiting, slots.
@@ -179,8 +181,11 @@
 
 
 def _parse_count(text: str) -> int:
-    """Return a decimal number, 0 for anything else."""
-    return int(text) if text.strip().isdecimal() else 0
+    """Return a decimal number of few digits, 0 for anything else."""
+    digits = text.strip()
+    if not digits.isdecimal() or len(digits) > _MAX_DIGITS:
+        return 0
+    return int(digits)
 
 
 def _parse_shared_parts(text: str) -> tuple[PromptPart, ...]:
--- a/tests/test_ratelimits.py
+++ b/tests/test_ratelimits.py
@@ -159,6 +159,22 @@
     run_on_platform(scenario)
 
 
+def test_numbers_of_thousands_of_digits_end_no_entry() -> None:
+    """Guards against int(), which refuses them, in any caller's request."""
+
+    async def scenario(bench: PlatformBench) -> None:
+        replica = await bench.add_replica('p1')
+        await bench.add_replica('p2')
+        entry = (await start_entries(bench, 1))[0]
+        digits = '9' * 5000
+        assert (await entry.call('/read/1', length_hint=digits)).status == 200
+        replica.statements = (('replica-load', f'{digits},1,6'),)
+        while not replica.executed:
+            assert (await entry.call('/read/1')).status == 200
+
+    run_on_platform(scenario)
+
+
 def test_a_call_is_refused_at_once_while_all_replicas_want_a_pause() -> None:
     async def scenario(bench: PlatformBench) -> None:
         replicas = [await bench.add_replica(name) for name in ('p1', 'p2')]
