Take a deadline of hundreds of digits for none

Cause: float() raises OverflowError for an integer of more than 308 digits; only ValueError was caught, so a request with such a Deadline-Remaining-Ms ended the entry. Change: the route's timeout holds then.

--- a/src/amaranthrail/platform/headers.py
+++ b/src/amaranthrail/platform/headers.py
@@ -176,7 +176,7 @@
         return None
     try:
         return Millis(float(int(text)))
-    except ValueError:
+    except (ValueError, OverflowError):
         return None
 
 
--- a/tests/test_ratelimits.py
+++ b/tests/test_ratelimits.py
@@ -168,6 +168,9 @@
         entry = (await start_entries(bench, 1))[0]
         digits = '9' * 5000
         assert (await entry.call('/read/1', length_hint=digits)).status == 200
+        deadline = '9' * 400
+        response = await entry.call('/read/1', deadline_remaining_ms=deadline)
+        assert response.status == 200
         replica.statements = (('replica-load', f'{digits},1,6'),)
         while not replica.executed:
             assert (await entry.call('/read/1')).status == 200
