--- a/review/bed.py
+++ b/review/bed.py
@@ -263,6 +263,9 @@
         if self._written == self.state:
             return
         self._written = self.state
+        self.write_entry()
+
+    def write_entry(self) -> None:
         entry = {
             'service': self.service, 'address': self.address,
             'zone': 'piacenza', 'version': 'v1', 'slots': 6,
