--- a/review/4/case.py
+++ b/review/4/case.py
@@ -13,10 +13,10 @@
 ENTRIES = 2
 RANKS = 16
 # Doses of `garble`: 6 in 10 of the replicas spoil 3 in 100 of their answers, for
-# 5.5 s at a time.
+# 5 s at a time (the site file: "extra late").
 FAULTY_SHARE = 0.6
 SPOILT = 0.03
-GARBLE_S = 5.5
+GARBLE_S = 5.0
 GAP_S = 0.5
 TROUBLE_S = 84
 MAX_ENDS = 3
