Tell in the logs which calls a shutdown cut off, and when they came

The logs of an entry could not tell why a call ended around SIGTERM: one that the entry itself broke off was logged as `caller disconnected`, nothing said when a call had arrived after the signal, how late the signal was handled, or whether the process ended for lack of calls or at its deadline.

Each line on a call has `since_signal_ms` during a shutdown. A call that the end of the process breaks off has a line of its own, which the bound on log lines does not drop. `leaving` says how late the signal was handled and for how long the process cannot know when it was sent; `shutdown done` sums up all calls since. `rejected` has the refusal's inputs. The signal handler of the entry is installed before any listener opens and keeps the time at which it ran.

Serving callers moved from service.py to callerserver.py, as the module had too many imports.

--- a/src/amaranthrail/direct/callers.py
+++ b/src/amaranthrail/direct/callers.py
@@ -49,7 +49,7 @@
         if isinstance(call, Refusal):
             self._call_log.record_rejection(
                 metadata.attempt_id,
-                call.reason.value,
+                call,
                 self._cluster.configuration_view,
             )
             headers = self._wire_format.refusal_headers(call)
@@ -82,10 +82,7 @@
         call = self._make_call(
             deployment, request, metadata, route, organisation
         )
-        if not self._shutdown.accepts(call):
-            # Other entries accept the call without delay.
-            return not_run(Reason.DRAINING, 'this entry leaves', 0)
-        return call
+        return self._shutdown.refuse(call) or call
 
     def _make_call(
         self,
--- a/src/amaranthrail/direct/calllog.py
+++ b/src/amaranthrail/direct/calllog.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import xxhash
 
 from ..clock import Clock
@@ -15,6 +17,7 @@
 from .call import BufferedResponse, Call, Failure, StreamTiming
 from .clusterstate import ConfigurationView
 from .deployment import UpstreamRecord
+from .shutdownlog import CallEnd, ShutdownLog
 
 #: Answered calls a second that are all logged; above this rate, only one in
 #: ``SAMPLED_ONE_IN`` is.
@@ -49,10 +52,13 @@
 class CallLog:
     """Write one log line per outcome, sampled at high rates, and count all."""
 
-    def __init__(self, clock: Clock, metrics: Metrics) -> None:
+    def __init__(
+        self, clock: Clock, metrics: Metrics, shutdown_log: ShutdownLog
+    ) -> None:
         """Count in ``metrics``, which never drops an outcome."""
         self._clock = clock
         self._metrics = metrics
+        self._shutdown_log = shutdown_log
         self._answered = _RateCounter(clock)
         self._problems = _RateCounter(clock)
 
@@ -76,14 +82,16 @@
                 reason=outcome.reason.value,
                 outcome=outcome.outcome.value,
             )
+            self._shutdown_log.record_end(CallEnd.REFUSED)
             self._log_refusal(call, outcome, events)
             return
+        self._shutdown_log.record_end(CallEnd.ANSWERED)
         status = _HTTP_OK if outcome is None else outcome.status
         self._metrics.count('answered', status=str(status))
         if self._is_sampled(call.metadata.attempt_id):
             _log.info(
                 'answered',
-                **_call_fields(call),
+                **self._fields(call),
                 status=status,
                 events=events,
                 first_event_ms=int(timing.first_event_ms),
@@ -103,15 +111,14 @@
         ``events`` counts those that the caller has received so far.
         """
         self._metrics.count('repeats')
-        if not self._may_log_problem():
-            return
         if isinstance(attempt, BufferedResponse):
             cause = f'status {attempt.status}'
         else:
             cause = attempt.cause
-        _log.warning(
+        self._log_problem(
+            _log.warning,
             'sent again',
-            **_call_fields(call),
+            call,
             upstream=upstream.name,
             upstream_beat=upstream.sequence,
             cause=cause,
@@ -125,13 +132,13 @@
         has received so far.
         """
         self._metrics.count('repeats')
-        if self._may_log_problem():
-            _log.warning(
-                'stream stalled, sent to another upstream too',
-                **_call_fields(call),
-                upstream=upstream,
-                events=events,
-            )
+        self._log_problem(
+            _log.warning,
+            'stream stalled, sent to another upstream too',
+            call,
+            upstream=upstream,
+            events=events,
+        )
 
     def record_hedge(
         self, call: Call, delay: HedgeDelay, waited_ms: float
@@ -139,49 +146,51 @@
         """Record a call that is sent a second time because it was slow."""
         self._metrics.count('repeats')
         self._metrics.count('hedges_sent')
-        if self._may_log_problem():
-            _log.info(
-                'slow call sent to a second upstream too',
-                **_call_fields(call),
-                **_delay_fields(delay),
-                waited_ms=int(waited_ms),
-            )
+        self._log_problem(
+            _log.info,
+            'slow call sent to a second upstream too',
+            call,
+            **_delay_fields(delay),
+            waited_ms=int(waited_ms),
+        )
 
     def record_hedge_denied(
         self, call: Call, delay: HedgeDelay, reason: Denial
     ) -> None:
         """Record a slow call that is not sent a second time."""
         self._metrics.count('hedges_denied', reason=reason.value)
-        if self._may_log_problem():
-            _log.info(
-                'slow call not sent to a second upstream',
-                **_call_fields(call),
-                **_delay_fields(delay),
-                reason=reason.value,
-            )
+        self._log_problem(
+            _log.info,
+            'slow call not sent to a second upstream',
+            call,
+            **_delay_fields(delay),
+            reason=reason.value,
+        )
 
     def record_hedge_end(self, call: Call, end: HedgeEnd) -> None:
         """Record which send of a call that was sent twice gave its response."""
         self._metrics.count(f'hedges_{end.value}')
-        if self._may_log_problem():
-            _log.info('second send ended', **_call_fields(call), end=end.value)
+        self._log_problem(_log.info, 'second send ended', call, end=end.value)
 
     def record_rejection(
         self,
         attempt_id: str,
-        reason: str,
+        refusal: Refusal,
         view: ConfigurationView,
     ) -> None:
         """Record a request that was refused before it could be forwarded.
 
         ``view`` is that of the configuration that decided.
         """
+        reason = refusal.reason.value
         self._metrics.count('rejected', reason=reason)
+        self._shutdown_log.record_end(CallEnd.REJECTED)
         if self._may_log_problem():
             _log.warning(
                 'rejected',
                 request=attempt_id,
                 reason=reason,
+                cause=refusal.detail,
                 version=view.version,
                 read_age_ms=view.read_age_ms,
                 reported_version=view.reported_version,
@@ -189,12 +198,22 @@
             )
 
     def record_disconnect(self, call: Call, events: int) -> None:
-        """Record a caller that disconnected before the end of its response."""
+        """Record a call whose response is given up before its end.
+
+        The caller has disconnected, or the process ends.
+        """
+        if self._shutdown_log.has_ended:
+            self._record_cut(call, events)
+            return
         self._metrics.count('callers_left')
-        if self._may_log_problem():
-            _log.info(
-                'caller disconnected', **_call_fields(call), events=events
-            )
+        self._shutdown_log.record_end(CallEnd.CALLER_LEFT)
+        self._log_problem(
+            _log.info,
+            'caller disconnected',
+            call,
+            events=events,
+            took_ms=int(self._clock.now() - call.arrived_at),
+        )
 
     def _count_reservations(self, call: Call) -> None:
         """Count what became of reservations; a call is admitted or not."""
@@ -211,12 +230,23 @@
                 'reservations_kept' if kept else 'reservations_missed'
             )
 
-    def _log_refusal(self, call: Call, refusal: Refusal, events: int) -> None:
-        if not self._may_log_problem():
-            return
+    def _record_cut(self, call: Call, events: int) -> None:
+        """Record a call that the end of the process broke off."""
+        self._metrics.count('calls_cut')
+        self._shutdown_log.record_end(CallEnd.CUT)
+        # At most one line for each call in progress, so not rate limited.
         _log.warning(
+            'cut off at the end of the process',
+            **self._fields(call),
+            events=events,
+            took_ms=int(self._clock.now() - call.arrived_at),
+        )
+
+    def _log_refusal(self, call: Call, refusal: Refusal, events: int) -> None:
+        self._log_problem(
+            _log.warning,
             'stream aborted' if events else 'refused',
-            **_call_fields(call),
+            call,
             outcome=refusal.outcome.value,
             reason=refusal.reason.value,
             cause=refusal.detail,
@@ -233,6 +263,20 @@
             return True
         return xxhash.xxh32_intdigest(attempt_id.encode()) % SAMPLED_ONE_IN == 0
 
+    def _log_problem(
+        self,
+        write: Callable[..., object],
+        event: str,
+        call: Call,
+        **fields: object,
+    ) -> None:
+        """Write a line on a call unless there are too many lines."""
+        if self._may_log_problem():
+            write(event, **self._fields(call), **fields)
+
+    def _fields(self, call: Call) -> dict[str, object]:
+        return {**_call_fields(call), **self._shutdown_log.describe(call)}
+
     def _may_log_problem(self) -> bool:
         if self._problems.increment() <= MAX_PROBLEMS_PER_SECOND:
             return True
--- a/src/amaranthrail/direct/service.py
+++ b/src/amaranthrail/direct/service.py
@@ -14,11 +14,10 @@
     ServerLimits,
     ServerState,
     serve_connection,
-    wait_until_quiet,
 )
 from ..adapters.listen import open_listeners
 from ..adapters.probes import send_metrics, send_readiness
-from ..clock import MS_PER_SECOND, Clock, move_on_after, sleep
+from ..clock import MS_PER_SECOND, Clock
 from ..logs import part_logger
 from ..metrics import Metrics
 from ..ranks.assembly import (
@@ -27,10 +26,9 @@
     make_prepare_server,
 )
 from ..ranks.ports import MakeRank
-from .callers import CallerHandler
-from .calllog import CallLog
+from ..signals import StopTimes
+from .callerserver import CallerServer, CallerSources
 from .clusterstate import ClusterState
-from .forward import Forwarder, ForwarderSettings
 from .loads import ReportExchange, SharedLoads
 from .members import Members
 from .peers import PeerSync, PeerSyncSources
@@ -47,9 +45,6 @@
     follow_configuration,
 )
 
-#: Time from the stop signal until idle connections are closed, in ms: the
-#: balancer opens new ones until two probes, a second apart, have failed.
-IDLE_CLOSE_DELAY_MS = 2500.0
 _PROBE_BODY_BYTES = 1024
 _log = part_logger('entry')
 
@@ -133,8 +128,23 @@
             ),
             make_rank,
         )
-        self._server_state = ServerState(self._limits, settings.memory_bytes)
-        self._shutdown = GracefulShutdown(self._store_status, self._members)
+        self._caller_server = CallerServer(
+            lambda: self._settings,
+            CallerSources(
+                self._clock,
+                self._metrics,
+                self._cluster,
+                wire_format,
+                self._loads,
+                self._stalls,
+                self._prompt_guard,
+                self._retry_budgets,
+                GracefulShutdown(
+                    self._store_status, self._members, self._metrics
+                ),
+            ),
+        )
+        self._stop_times: StopTimes | None = None
         self._stop_requested = trio.Event()
 
     @property
@@ -162,8 +172,13 @@
         """Tell whether the latest call to the store failed."""
         return self._store_status.lost
 
-    def stop(self) -> None:
-        """Request the graceful shutdown; run() returns once it is done."""
+    def stop(self, times: StopTimes | None = None) -> None:
+        """Request the graceful shutdown; run() returns once it is done.
+
+        ``times`` are those of the stop signal, None for the present time.
+        """
+        now = self._clock.now()
+        self._stop_times = self._stop_times or times or StopTimes(now, now)
         self._stop_requested.set()
 
     def apply_settings(self, settings: DirectSettings) -> None:
@@ -200,11 +215,14 @@
                 partial(trio.serve_listeners, self._peer_sync.serve, peers),
                 partial(self._serve_internal, probes, self._answer_probe),
                 partial(self._serve_internal, metrics, self._answer_metrics),
-                partial(self._serve_callers, callers),
+                partial(self._caller_server.serve, callers),
             ):
                 nursery.start_soon(task)
             await self._stop_requested.wait()
-            await self._shut_down()
+            if self._stop_times is not None:
+                await self._caller_server.shut_down(
+                    self._stop_times, lambda: self._map_controller.is_idle
+                )
             nursery.cancel_scope.cancel()
         _log.info('ended')
 
@@ -217,42 +235,6 @@
         address = Address(self._settings.host, port)
         return await open_listeners(address, 'peer_port')
 
-    async def _serve_callers(
-        self,
-        listeners: list[trio.SocketListener],
-    ) -> None:
-        call_log = CallLog(self._clock, self._metrics)
-        forwarder = Forwarder(
-            self._cluster,
-            self._prompt_guard,
-            self._retry_budgets,
-            call_log,
-            ForwarderSettings(
-                self._settings.domain,
-                self._loads,
-                self._stalls,
-                lambda: self._settings.hedging,
-                self._server_state.buffers,
-                self._wire_format.refusal_headers,
-                self._settings.stall_ms,
-            ),
-        )
-        callers = CallerHandler(
-            self._cluster,
-            self._wire_format,
-            forwarder,
-            call_log,
-            self._shutdown,
-        )
-        await trio.serve_listeners(
-            partial(
-                serve_connection,
-                handler=callers.handle,
-                state=self._server_state,
-            ),
-            listeners,
-        )
-
     async def _serve_internal(
         self,
         listeners: list[trio.SocketListener],
@@ -294,33 +276,3 @@
 
     def _read_wait_ms(self) -> int:
         return self._settings.read_wait_ms
-
-    def _limits(self) -> ServerLimits:
-        limits = self._cluster.caller_limits
-        return ServerLimits(
-            limits.max_body_bytes,
-            limits.max_header_bytes,
-            idle_timeout_ms=limits.idle_timeout_ms,
-            header_timeout_ms=limits.header_timeout_ms,
-        )
-
-    async def _shut_down(self) -> None:
-        _log.info('leaving', active=self._server_state.active)
-        began_at = self._clock.now()
-        deadline = self._shutdown.begin(self._settings.shutdown_ms)
-        self._server_state.announce_close()
-        idle_close_at = min(began_at + IDLE_CLOSE_DELAY_MS, deadline)
-        await sleep(idle_close_at - self._clock.now())
-        self._server_state.close()
-        with move_on_after(deadline - self._clock.now()):
-            await wait_until_quiet(self._is_busy)
-        if self._server_state.active:
-            _log.warning(
-                'calls cut off at shutdown deadline',
-                active=self._server_state.active,
-            )
-
-    def _is_busy(self) -> bool:
-        """Tell whether a call or a change of a map must be waited for."""
-        can_exit = self._shutdown.can_exit(self._server_state.active)
-        return not (can_exit and self._map_controller.is_idle)
--- a/src/amaranthrail/platform/program.py
+++ b/src/amaranthrail/platform/program.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from ..clock import sleep
+from ..clock import Clock, sleep
 from ..direct.ports import WireFormat
 from ..direct.service import DirectEntry
 from ..direct.settings import DirectSettings
@@ -23,6 +23,7 @@
     configure_logs,
     part_logger,
 )
+from ..signals import LoopMonitor, on_stop_signal
 from . import headers, records
 from .ranks import HttpRank
 from .settings import SETTINGS_VARIABLE, load_settings
@@ -66,7 +67,8 @@
         WIRE_FORMAT,
         partial(HttpRank, link_mbps=settings.link_mbps),
     )
-    trio.run(partial(_run, entry, path, writer))
+    monitor = LoopMonitor(Clock())
+    trio.run(partial(_run, entry, path, writer, monitor), instruments=[monitor])
 
 
 def _load_first(path: Path) -> DirectSettings:
@@ -82,23 +84,26 @@
         time.sleep(_SETTINGS_RETRY_S)
 
 
-async def _run(entry: DirectEntry, path: Path, writer: BoundedWriter) -> None:
+async def _run(
+    entry: DirectEntry,
+    path: Path,
+    writer: BoundedWriter,
+    monitor: LoopMonitor,
+) -> None:
+    on_stop_signal(Clock(), monitor, entry.stop)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(writer.run)
-        nursery.start_soon(_handle_signals, entry, path)
+        nursery.start_soon(_reload_on_signal, entry, path)
         nursery.start_soon(_watch_settings, entry, path)
         await entry.run()
         nursery.cancel_scope.cancel()
     writer.flush_now()
 
 
-async def _handle_signals(entry: DirectEntry, path: Path) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
-        async for number in signals:
-            if number == signal.SIGTERM:
-                entry.stop()
-            else:
-                _reload(entry, path)
+async def _reload_on_signal(entry: DirectEntry, path: Path) -> None:
+    with trio.open_signal_receiver(signal.SIGHUP) as signals:
+        async for _ in signals:
+            _reload(entry, path)
 
 
 async def _watch_settings(entry: DirectEntry, path: Path) -> None:
--- a/tests/test_late_in_grace.py
+++ b/tests/test_late_in_grace.py
@@ -10,7 +10,7 @@
 import trio
 
 from amaranthrail.adapters.httpclient import HttpClient
-from amaranthrail.direct.service import IDLE_CLOSE_DELAY_MS
+from amaranthrail.direct.callerserver import IDLE_CLOSE_DELAY_MS
 from amaranthrail.exceptions import HttpError
 from amaranthrail.policy.shutdown import can_accept_call
 from amaranthrail.ranks.controller import _ControlledGroup
