End an entry only once its last connection is closed

Callers saw a call that was read seconds after SIGTERM, reached a replica and got no response. The entry ended after six checks that found no call in progress, with a sleep of 20 ms after the last one, and then cancelled all tasks. The listener and the connections stayed open meanwhile, so a call that came in was accepted, passed on and cut off. The class of the fault: the decision to end rests on a check that is over before the end.

After the checks the listeners are closed first, each connection without a request is read for another 100 ms and closed, and the process ends once all are closed: then nothing can arrive any more. The last check for a change of an expert map is made in the step that ends the process. The entry that works with sidecars had the same sleep, and ends in the same way.

--- a/src/amaranthrail/adapters/httpserver.py
+++ b/src/amaranthrail/adapters/httpserver.py
@@ -185,9 +185,11 @@
         self._limits = limits
         self._buffers = BufferBudget(int(BUFFER_SHARE * memory_bytes))
         self._closed = trio.Event()
+        self._ending = trio.Event()
         self._close_announced = False
         self._active = 0
-        self._idle_scopes: set[trio.CancelScope] = set()
+        self._reused_scopes: set[trio.CancelScope] = set()
+        self._new_scopes: set[trio.CancelScope] = set()
 
     @property
     def limits(self) -> ServerLimits:
@@ -227,7 +229,17 @@
         after LAST_READ_MS; one that has served none may still send its first.
         """
         self._closed.set()
-        for scope in self._idle_scopes:
+        for scope in self._reused_scopes:
+            scope.cancel()
+
+    def end(self) -> None:
+        """Close all connections without a request after LAST_READ_MS.
+
+        A request that arrives on one until then is served.
+        """
+        self.close()
+        self._ending.set()
+        for scope in self._new_scopes:
             scope.cancel()
 
     @contextmanager
@@ -236,22 +248,27 @@
 
         On a reused connection, one that has served a request, the block is
         also left when the server closes; on a new one a first request may be
-        on its way.
+        on its way, so it is left when the server ends.
         """
+        scopes = self._reused_scopes if reused else self._new_scopes
+        is_over = self._closed if reused else self._ending
         with move_on_after(self.limits.idle_timeout_ms) as scope:
-            if reused:
-                self._idle_scopes.add(scope)
-            if reused and self._closed.is_set():
+            scopes.add(scope)
+            if is_over.is_set():
                 scope.cancel()
             try:
                 yield
             finally:
-                self._idle_scopes.discard(scope)
+                scopes.discard(scope)
 
     async def wait_until_closing(self) -> None:
         """Wait until ``close`` is called; an announced close does not count."""
         await self._closed.wait()
 
+    async def wait_until_ending(self) -> None:
+        """Wait until ``end`` is called."""
+        await self._ending.wait()
+
 
 class _Connection:
     def __init__(self, stream: trio.abc.Stream, state: ServerState) -> None:
@@ -458,11 +475,22 @@
 async def wait_until_quiet(is_busy: Callable[[], bool]) -> None:
     """Return once several checks in a row found nothing left to finish.
 
-    A process that serves requests may end then, after ``ServerState.close``.
+    A process that serves requests may begin its end then: requests may still
+    arrive until ``ServerState.end`` has been called and all connections are
+    closed.
     """
-    quiet_checks = 0
+    quiet_checks = 0 if is_busy() else 1
     while quiet_checks < _QUIET_CHECKS:
+        await sleep(_QUIET_CHECK_MS)
         quiet_checks = 0 if is_busy() else quiet_checks + 1
+
+
+async def wait_while(is_busy: Callable[[], bool]) -> None:
+    """Return as soon as a check finds nothing left to finish.
+
+    No other task runs between that check and the return.
+    """
+    while is_busy():
         await sleep(_QUIET_CHECK_MS)
 
 
--- a/src/amaranthrail/adapters/listen.py
+++ b/src/amaranthrail/adapters/listen.py
@@ -65,6 +65,31 @@
         await sleep(_BIND_RETRY_MS)
 
 
+async def serve_until(
+    listeners: list[trio.SocketListener],
+    handler: StreamHandler,
+    wait_closed: Callable[[], Awaitable[None]],
+) -> None:
+    """Accept connections until ``wait_closed`` returns.
+
+    Return once all connections that were accepted have been handled.
+    """
+    async with trio.open_nursery() as connections:
+        async with trio.open_nursery() as accepting:
+            accepting.start_soon(
+                partial(
+                    trio.serve_listeners,
+                    handler,
+                    listeners,
+                    handler_nursery=connections,
+                ),
+            )
+            await wait_closed()
+            accepting.cancel_scope.cancel()
+        for listener in listeners:
+            await listener.aclose()
+
+
 def handler_with_tls(
     handler: StreamHandler,
     tls: ssl.SSLContext | None,
--- a/src/amaranthrail/direct/callerserver.py
+++ b/src/amaranthrail/direct/callerserver.py
@@ -14,7 +14,9 @@
     ServerState,
     serve_connection,
     wait_until_quiet,
+    wait_while,
 )
+from ..adapters.listen import serve_until
 from ..clock import Clock, move_on_after, sleep
 from ..metrics import Metrics
 from ..signals import StopTimes
@@ -62,14 +64,16 @@
         self._sources = sources
         self._clock = sources.clock
         self._shutdown = sources.shutdown
+        self._served = trio.Event()
         self._state = ServerState(self._limits, read_settings().memory_bytes)
 
     async def serve(self, listeners: list[trio.SocketListener]) -> None:
-        """Serve callers until cancelled."""
+        """Serve callers until all connections are closed in a shutdown."""
         serve = partial(
             serve_connection, handler=self._make_handler(), state=self._state
         )
-        await trio.serve_listeners(serve, listeners)
+        await serve_until(listeners, serve, self._state.wait_until_ending)
+        self._served.set()
 
     async def shut_down(
         self, times: StopTimes, is_idle: Callable[[], bool]
@@ -88,6 +92,9 @@
         self._state.close()
         with move_on_after(deadline - self._clock.now()):
             await wait_until_quiet(lambda: not (self._can_exit() and is_idle()))
+            self._state.end()
+            await self._served.wait()
+            await wait_while(lambda: not is_idle())
         self._shutdown.end(self._state.active)
 
     def _can_exit(self) -> bool:
--- a/src/amaranthrail/entry/service.py
+++ b/src/amaranthrail/entry/service.py
@@ -12,8 +12,13 @@
     ServerState,
     serve_connection,
     wait_until_quiet,
+    wait_while,
+)
+from ..adapters.listen import (
+    handler_with_tls,
+    open_listeners,
+    serve_until,
 )
-from ..adapters.listen import handler_with_tls, open_listeners
 from ..adapters.platform import HttpHostList, HttpLog
 from ..consumer import StreamConsumer
 from ..logs import part_logger
@@ -76,6 +81,7 @@
         self._caller_server_state = ServerState(
             lambda: ServerLimits(self._context.max_body_bytes),
         )
+        self._callers_served = trio.Event()
         self._stopping = trio.Event()
 
     @property
@@ -136,20 +142,8 @@
             await serve_connection(stream, caller_handler.handle, state)
 
         handler = handler_with_tls(serve, self._caller_tls())
-        async with trio.open_nursery() as connections:
-            async with trio.open_nursery() as accepting:
-                accepting.start_soon(
-                    partial(
-                        trio.serve_listeners,
-                        handler,
-                        listeners,
-                        handler_nursery=connections,
-                    ),
-                )
-                await state.wait_until_closing()
-                accepting.cancel_scope.cancel()
-            for listener in listeners:
-                await listener.aclose()
+        await serve_until(listeners, handler, state.wait_until_closing)
+        self._callers_served.set()
 
     async def _listen_admin(
         self,
@@ -173,7 +167,11 @@
         self._caller_server_state.close()
         self._runtime.timeline.add('leaving')
         _log.info('leaving', active=self._caller_server_state.active)
-        await wait_until_quiet(partial(self._is_busy, keyed_requests))
+        is_busy = partial(self._is_busy, keyed_requests)
+        await wait_until_quiet(is_busy)
+        self._caller_server_state.end()
+        await self._callers_served.wait()
+        await wait_while(is_busy)
 
     def _is_busy(self, keyed_requests: KeyedRequests) -> bool:
         return bool(
