Answer calls that the deadline of a shutdown cuts off

At the deadline of a shutdown an entry cancelled all its tasks. Callers whose call was still in progress got a closed connection, which says nothing on whether the call ran, even where no byte of a response had been sent.

Each call now ends by itself at that deadline: one without a response gets a refusal, 503 where it has not run and 504 otherwise, a stream ends without its last chunk, as before. The log has a line for each with the reason `draining`, and the calls count as cut. Responses that are still being sent have until 0.98 of the grace period. Short grace periods left too little for this, 60 ms of one second: the deadline is now at least 250 ms before the kill, but not before 0.85 of the grace period (the users excuse cuts in its last sixth). Nothing changes at 8 s.

test_a_call_at_the_deadline_of_a_shutdown_gets_an_answer is new; before, the connection closed without a response. What decides a refusal moved from forward.py to refusals.py, as the module had too many imports.

--- a/src/amaranthrail/direct/callerserver.py
+++ b/src/amaranthrail/direct/callerserver.py
@@ -80,6 +80,7 @@
     ) -> None:
         """Return once no call is in progress or the time for them is over.
 
+        Calls that are in progress then are cut off and answered as such.
         ``is_idle`` tells whether the rest of the process may end.
         """
         began_at = self._clock.now()
@@ -95,8 +96,16 @@
             self._state.end()
             await self._served.wait()
             await wait_while(lambda: not is_idle())
+        if not self._served.is_set():
+            await self._cut_calls()
         self._shutdown.end(self._state.active)
 
+    async def _cut_calls(self) -> None:
+        self._state.end()
+        self._shutdown.cut_calls()
+        with move_on_after(self._shutdown.send_deadline - self._clock.now()):
+            await self._served.wait()
+
     def _can_exit(self) -> bool:
         return self._shutdown.can_exit(self._state.active)
 
@@ -117,6 +126,7 @@
                 self._state.buffers,
                 sources.wire_format.refusal_headers,
                 settings.stall_ms,
+                sources.shutdown,
             ),
         )
         callers = CallerHandler(
--- a/src/amaranthrail/direct/calllog.py
+++ b/src/amaranthrail/direct/calllog.py
@@ -9,7 +9,7 @@
 from ..clock import Clock
 from ..logs import part_logger
 from ..metrics import Metrics
-from ..outcomes import Refusal
+from ..outcomes import Reason, Refusal
 from ..policy.hedging import Denial, HedgeEnd
 from ..policy.reservations import has_reservation
 from ..policy.streamadmission import NO_PRESSURE
@@ -82,7 +82,9 @@
                 reason=outcome.reason.value,
                 outcome=outcome.outcome.value,
             )
-            self._shutdown_log.record_end(CallEnd.REFUSED)
+            is_cut = outcome.reason is Reason.DRAINING
+            end = CallEnd.CUT if is_cut else CallEnd.REFUSED
+            self._shutdown_log.record_end(end)
             self._log_refusal(call, outcome, events)
             return
         self._shutdown_log.record_end(CallEnd.ANSWERED)
--- a/src/amaranthrail/direct/choice.py
+++ b/src/amaranthrail/direct/choice.py
@@ -39,7 +39,7 @@
         cluster: ClusterState,
         domain: DomainName,
         loads: SharedLoads,
-        rng: random.Random,
+        rng: random.Random | None = None,
     ) -> None:
         """Prefer upstreams in this entry's failure domain, ``domain``.
 
@@ -49,7 +49,7 @@
         self._domain = domain
         self._loads = loads
         self._clock = Clock()
-        self._random = rng
+        self._random = rng or random.Random()
 
     def choose(self, call: Call) -> Upstream | None:
         """Choose an upstream not tried yet; record the choice in the call."""
--- a/src/amaranthrail/direct/forward.py
+++ b/src/amaranthrail/direct/forward.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable
 from contextlib import closing
 from functools import partial
@@ -12,13 +11,8 @@
 from ..adapters.buffers import BufferBudget, BufferLease
 from ..adapters.httpserver import ResponseWriter
 from ..adapters.problem import send_refusal
-from ..clock import Clock, move_on_after
-from ..outcomes import Reason, Refusal, not_run, unknown_outcome
-from ..policy.retryafter import (
-    choose_peak_retry_after_ms,
-    choose_retry_after_ms,
-    choose_return_after_stop_ms,
-)
+from ..clock import Clock
+from ..outcomes import Refusal
 from ..types import DomainName, HeaderList
 from .call import BufferedResponse, Call, Failure, StreamTiming
 from .calllog import CallLog
@@ -27,9 +21,11 @@
 from .hedges import HedgeChooser, HedgeRecords, HedgeSources, ReadLimits
 from .loads import SharedLoads
 from .promptguard import PromptGuard
+from .refusals import RefusalChooser
 from .relay import RelayedAttempt, StreamRelay
 from .rescue import AttemptRace, AttemptResult
 from .retrybudgets import RetryBudgets
+from .shutdown import GracefulShutdown
 from .stalls import StallDetector
 from .steptimes import StepTimes
 from .upstreams import Upstream
@@ -52,7 +48,7 @@
     calls in flight, ``stalls`` finds streams of a stalled upstream, ``hedging``
     returns the limits of second sends, ``buffers`` bounds the bodies that are
     held, and ``refusal_headers`` makes the headers of a refusal. ``stall_ms``
-    is as in DirectSettings.
+    is as in DirectSettings, and ``shutdown`` ends calls at its deadline.
     """
 
     domain: DomainName
@@ -62,6 +58,7 @@
     buffers: BufferBudget
     refusal_headers: Callable[[Refusal], HeaderList]
     stall_ms: float
+    shutdown: GracefulShutdown
 
 
 class Forwarder:
@@ -75,7 +72,7 @@
         call_log: CallLog,
         settings: ForwarderSettings,
     ) -> None:
-        """Use one random source to break ties and distribute retry-after."""
+        """Send calls with the shared components of one entry."""
         self._cluster = cluster
         self._prompt_guard = prompt_guard
         self._retry_budgets = retry_budgets
@@ -83,12 +80,14 @@
         self._stalls = settings.stalls
         self._buffers = settings.buffers
         self._returns = settings.loads.returns
+        self._refusals = RefusalChooser(
+            cluster, self._returns, settings.shutdown, settings.stall_ms
+        )
         self._refusal_headers = settings.refusal_headers
-        self._stall_ms = settings.stall_ms
+        self._shutdown = settings.shutdown
         self._clock = Clock()
-        self._random = random.Random()
         self._chooser = UpstreamChooser(
-            cluster, settings.domain, settings.loads, self._random
+            cluster, settings.domain, settings.loads
         )
         self._hedges = HedgeRecords(self._clock, settings.hedging)
         self._hedge_chooser = HedgeChooser(
@@ -126,7 +125,7 @@
         is_expired = True
         is_connected = False
         try:
-            with move_on_after(remaining_ms + DEADLINE_SLACK_MS):
+            with self._shutdown.bound_call(remaining_ms + DEADLINE_SLACK_MS):
                 outcome = await self._try_upstreams(call, relay)
                 is_expired = False
             is_connected = True
@@ -134,7 +133,7 @@
             if not is_connected:
                 self._call_log.record_disconnect(call, relay.events)
         if is_expired:
-            outcome = _refuse_expired(call)
+            outcome = self._refusals.refuse_unfinished(call)
         if isinstance(outcome, Refusal):
             self._hedges.record_refusal(call.service, outcome)
         if isinstance(outcome, Refusal) and not reply.started:
@@ -177,15 +176,15 @@
         while True:
             call.held_ms = self._prompt_guard.held_ms(call)
             if call.held_ms is not None:
-                return self._final_result(call, failed)
+                return self._refusals.final_result(call, failed)
             upstream = self._chooser.choose(call)
             if upstream is None:
-                return self._final_result(call, failed)
+                return self._refusals.final_result(call, failed)
             attempt = await self._send(call, upstream, relay)
             if attempt is None:
                 return None
             if not self._should_retry(call, attempt):
-                return self._final_result(call, attempt)
+                return self._refusals.final_result(call, attempt)
             self._call_log.record_retry(
                 call, upstream.record, attempt, relay.events
             )
@@ -292,104 +291,6 @@
     def _has_time(self, call: Call) -> bool:
         return call.deadline - self._clock.now() > MIN_ATTEMPT_MS
 
-    def _final_result(
-        self,
-        call: Call,
-        last_attempt: BufferedResponse | Failure | None,
-    ) -> BufferedResponse | Refusal:
-        """Return the last attempt's response, or a refusal if it has none."""
-        if isinstance(last_attempt, BufferedResponse):
-            return last_attempt
-        if call.held_ms is not None and not call.may_have_run:
-            return not_run(
-                Reason.PROMPT_HELD,
-                'a part of the prompt may have crashed upstreams',
-                int(call.held_ms) + choose_retry_after_ms(self._random),
-            )
-        cause = f'no upstream of {call.service} takes work'
-        if last_attempt is not None:
-            cause = last_attempt.cause
-        if call.may_have_run:
-            return unknown_outcome(Reason.UPSTREAM_BROKEN, cause)
-        return self._refuse_unserved(call, cause, last_attempt)
-
-    def _refuse_unserved(
-        self, call: Call, cause: str, last_attempt: Failure | None
-    ) -> Refusal:
-        """Return why no upstream takes a call that has not run."""
-        directory = self._cluster.directory
-        if not self._cluster.has_allowed(call.service, call.allowed_regions):
-            return not_run(
-                Reason.NO_ALLOWED_REGION,
-                f'no upstream of {call.service} is in an allowed region',
-                choose_retry_after_ms(self._random),
-            )
-        if self._cluster.is_evacuated(call.service, call.allowed_regions):
-            return not_run(
-                Reason.DOMAIN_EVACUATED,
-                f'all upstreams of {call.service} are in evacuated domains',
-                choose_retry_after_ms(self._random),
-            )
-        wait_ms = directory.least_wait_ms(call.service, call.allowed_regions)
-        if wait_ms:
-            return not_run(
-                Reason.UPSTREAM_LIMIT,
-                f'upstreams of {call.service} take no more calls for now',
-                int(wait_ms) + choose_retry_after_ms(self._random),
-            )
-        return self._refuse_capacity(call, cause, is_tried=bool(last_attempt))
-
-    def _refuse_capacity(
-        self, call: Call, cause: str, *, is_tried: bool
-    ) -> Refusal:
-        """Refuse a call that no upstream takes, with a time to return."""
-        stop_ms = self._return_after_stop_ms(call)
-        if stop_ms is not None:
-            return not_run(
-                Reason.NO_CAPACITY,
-                f'the rank groups of {call.service} have stopped',
-                stop_ms,
-            )
-        if call.engine_load is not None and not call.choices:
-            return not_run(
-                Reason.NO_CAPACITY,
-                f'engines of {call.service} are full or too slow',
-                self._return_after_ms(call),
-            )
-        reason = Reason.NO_CAPACITY if is_tried else Reason.NO_REPLICA
-        if call.lacks_memory:
-            reason = Reason.UPSTREAM_MEMORY
-            tokens = call.metadata.held_tokens
-            cause = f'{tokens} tokens fit into no upstream of {call.service}'
-        return not_run(reason, cause, choose_retry_after_ms(self._random))
-
-    def _return_after_stop_ms(self, call: Call) -> int | None:
-        """Return when a stopped group is expected back, None if none is."""
-        service = self._cluster.service(call.service)
-        if call.stream is None or service is None or service.engine is None:
-            return None
-        stopped_ms = self._returns.stopped_ms(
-            call.service, self._cluster.directory.last_gap_ms(call.service)
-        )
-        if stopped_ms is None:
-            return None
-        return choose_return_after_stop_ms(
-            self._stall_ms + service.engine.form_ms - stopped_ms,
-            call.deadline - self._clock.now(),
-            self._random,
-        )
-
-    def _return_after_ms(self, call: Call) -> int:
-        """Return when the caller of a stream that is not admitted returns."""
-        remaining_ms = call.deadline - self._clock.now()
-        if call.stream is not None:
-            call.reservation = self._returns.refuse(
-                call.service, remaining_ms, call.stream.relative_size
-            )
-        if call.reservation is None:
-            return choose_peak_retry_after_ms(remaining_ms, self._random)
-        return call.reservation.return_after_ms
-
 
 def _may_have_run(attempt: AttemptResult) -> bool:
     return not isinstance(attempt, Failure) or attempt.may_have_run
@@ -403,10 +304,3 @@
         call.undelivered_attempts += 1
     else:
         call.delivered_attempts += 1
-
-
-def _refuse_expired(call: Call) -> Refusal:
-    detail = 'no answer before the deadline'
-    if call.may_have_run:
-        return unknown_outcome(Reason.EXPIRED, detail)
-    return not_run(Reason.EXPIRED, detail)
--- a/src/amaranthrail/direct/shutdown.py
+++ b/src/amaranthrail/direct/shutdown.py
@@ -2,9 +2,20 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import trio
+
+from ..clock import move_on_after
 from ..metrics import Metrics
-from ..outcomes import Reason, Refusal, not_run
-from ..policy.shutdown import CALL_COMPLETION_SHARE, can_accept_call, can_exit
+from ..outcomes import Reason, Refusal, not_run, unknown_outcome
+from ..policy.shutdown import (
+    SEND_COMPLETION_SHARE,
+    can_accept_call,
+    can_exit,
+    completion_ms,
+)
 from ..signals import StopTimes
 from ..types import Millis
 from .call import Call
@@ -29,6 +40,8 @@
         self._clock = store_status.clock
         self._shutdown_ms = Millis(0)
         self._deadline = Millis(0)
+        self._running: set[trio.CancelScope] = set()
+        self._is_cutting = False
         self._began_at: Millis | None = None
 
     @property
@@ -50,11 +63,40 @@
         self._members.begin_shutdown()
         self._shutdown_ms = shutdown_ms
         self._began_at = times.earliest
-        self._deadline = Millis(
-            self._began_at + CALL_COMPLETION_SHARE * shutdown_ms
-        )
+        self._deadline = Millis(self._began_at + completion_ms(shutdown_ms))
         return self._deadline
 
+    @property
+    def send_deadline(self) -> float:
+        """Return the clock time by which the last response must be sent."""
+        began_at = self._began_at or 0
+        return began_at + SEND_COMPLETION_SHARE * self._shutdown_ms
+
+    @contextmanager
+    def bound_call(self, remaining_ms: float) -> Iterator[None]:
+        """Leave the block after ``remaining_ms``, or when calls are cut off."""
+        with move_on_after(remaining_ms) as scope:
+            self._running.add(scope)
+            try:
+                yield
+            finally:
+                self._running.discard(scope)
+
+    def cut_calls(self) -> None:
+        """Cut off all calls in progress; their callers are still answered."""
+        self._is_cutting = True
+        for scope in self._running:
+            scope.cancel()
+
+    def refuse_cut(self, call: Call) -> Refusal | None:
+        """Return the refusal of a call that has been cut off, else None."""
+        if not self._is_cutting or self._clock.now() >= call.deadline:
+            return None
+        detail = 'cut off at the deadline of the shutdown'
+        if call.may_have_run:
+            return unknown_outcome(Reason.DRAINING, detail)
+        return not_run(Reason.DRAINING, detail, 0)
+
     def end(self, active: int) -> None:
         """Record that the process ends with ``active`` calls in progress."""
         is_due = self._clock.now() >= self._deadline
--- a/src/amaranthrail/policy/shutdown.py
+++ b/src/amaranthrail/policy/shutdown.py
@@ -17,6 +17,14 @@
 #: Fraction of the time from the stop signal to the kill by which calls in
 #: progress must have ended.
 CALL_COMPLETION_SHARE = 0.94
+#: Least time that is left then until the kill, in ms: calls that are cut off
+#: still get a refusal. Short grace periods have more calls cut off for it, but
+#: none before this fraction of the time, as the users bound it.
+MIN_END_MS = 250.0
+MIN_COMPLETION_SHARE = 0.85
+#: Fraction of the time from the stop signal to the kill by which responses that
+#: are still being sent are given up.
+SEND_COMPLETION_SHARE = 0.98
 #: Time beyond its deadline within which a caller has its refusal, in ms, on a
 #: busy host too: an upstream's response at the deadline is waited for.
 REFUSAL_SLACK_MS = 250.0
@@ -32,6 +40,17 @@
     return not active and (not store_lost or successors > 0)
 
 
+def completion_ms(shutdown_ms: float) -> float:
+    """Return the time from the stop signal by which calls must have ended.
+
+    ``shutdown_ms`` is the time from the signal to the kill.
+    """
+    latest_ms = min(
+        CALL_COMPLETION_SHARE * shutdown_ms, shutdown_ms - MIN_END_MS
+    )
+    return max(MIN_COMPLETION_SHARE * shutdown_ms, latest_ms)
+
+
 def can_accept_call(
     since_signal_ms: float,
     max_call_ms: float,
@@ -48,4 +67,4 @@
     if streaming:
         return since_signal_ms < STREAM_ACCEPT_MS
     ends_at_ms = since_signal_ms + max_call_ms + REFUSAL_SLACK_MS
-    return ends_at_ms < CALL_COMPLETION_SHARE * shutdown_ms
+    return ends_at_ms < completion_ms(shutdown_ms)
--- a/tests/test_late_in_grace.py
+++ b/tests/test_late_in_grace.py
@@ -19,7 +19,12 @@
 from standins.replica import Behaviour
 
 from .lockstep import FakeGroup
-from .platformbench import PlatformBench, RunningEntry, run_on_platform
+from .platformbench import (
+    PlatformBench,
+    RunningEntry,
+    run_on_platform,
+    wait_until,
+)
 from .raw import read_until_closed
 from .test_leader import new_leader
 
@@ -126,6 +131,30 @@
     run_on_platform(scenario)
 
 
+@pytest.mark.parametrize('path', ['/read/1', '/stream/1'])
+def test_a_call_at_the_deadline_of_a_shutdown_gets_an_answer(
+    path: str,
+) -> None:
+    """Guards against a connection that is closed without a response."""
+
+    async def scenario(bench: PlatformBench) -> None:
+        for name, service in (('p1', 'plain'), ('e1', 'engine')):
+            replica = await bench.add_replica(name, service)
+            replica.behaviour = Behaviour.UNRESPONSIVE
+        fields = {'bounds.grace_s': '1'}
+        entry = await bench.start_entry(**fields)
+        await wait_until(lambda: len(entry.entry.cluster_state.directory) == 2)
+        calls = LateCalls(entry)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(calls.call, path, 2000)
+            await trio.sleep(0.1)
+            entry.entry.stop()
+        assert not calls.cut
+        assert list(calls.statuses.values()) == [504]
+
+    run_on_platform(scenario)
+
+
 def test_a_call_that_arrives_while_a_map_change_ends_is_answered() -> None:
     """Guards against calls that are cut off once the change has ended.
 
