Refuse streams in a shutdown that are likely to be cut off

An entry that shuts down accepted every stream for 2.9 s after the signal, however long.

A stream is accepted if the longest time that it is likely to take, from its stated bound or estimate of the output and the recent step time of its engines, ends before the deadline of the shutdown, or if its own deadline does. Without an estimate the fixed time decides alone. A call that has not run is not sent again where the same estimate says that it cannot end; it is refused as not run, to return at once. A call that may have run is still retried here. The refusal's detail has all inputs.

test_shutdown.py: tables of both decisions and of the estimate. There was no such decision before, so these tests have no earlier run.

--- a/src/amaranthrail/direct/forward.py
+++ b/src/amaranthrail/direct/forward.py
@@ -177,6 +177,9 @@
             call.held_ms = self._prompt_guard.held_ms(call)
             if call.held_ms is not None:
                 return self._refusals.final_result(call, failed)
+            refusal = self._refuse_retry(call, failed)
+            if refusal is not None:
+                return refusal
             upstream = self._chooser.choose(call)
             if upstream is None:
                 return self._refusals.final_result(call, failed)
@@ -190,6 +193,17 @@
             )
             failed = attempt
 
+    def _refuse_retry(
+        self, call: Call, failed: BufferedResponse | Failure | None
+    ) -> Refusal | None:
+        """Return why a shutdown leaves no time for a retry, if so.
+
+        A call that may have run is retried here, as the caller may not.
+        """
+        if failed is None or call.may_have_run:
+            return None
+        return self._shutdown.refuse_retry(call)
+
     async def _send(
         self, call: Call, upstream: Upstream, relay: StreamRelay
     ) -> AttemptResult:
--- a/src/amaranthrail/direct/service.py
+++ b/src/amaranthrail/direct/service.py
@@ -29,6 +29,7 @@
 from ..signals import StopTimes
 from .callerserver import CallerServer, CallerSources
 from .clusterstate import ClusterState
+from .durations import StreamDurations
 from .loads import ReportExchange, SharedLoads
 from .members import Members
 from .peers import PeerSync, PeerSyncSources
@@ -140,7 +141,10 @@
                 self._prompt_guard,
                 self._retry_budgets,
                 GracefulShutdown(
-                    self._store_status, self._members, self._metrics
+                    self._store_status,
+                    self._members,
+                    self._metrics,
+                    StreamDurations(self._cluster).longest_ms,
                 ),
             ),
         )
--- a/src/amaranthrail/policy/shutdown.py
+++ b/src/amaranthrail/policy/shutdown.py
@@ -3,12 +3,17 @@
 Load pattern: the entries of a failure domain are restarted one after the other,
 some seconds apart, while each finishes its streams. The load balancer in front
 of them then also sends callers to entries that are shutting down, since too few
-others are ready. If all entries were restarted while the store is unreachable,
-the cluster state would be lost.
+others are ready. A few streams take many times longer than the rest: one that
+begins late would be cut off, and another entry could finish it. If all entries
+were restarted while the store is unreachable, the cluster state would be lost.
 """
 
 from __future__ import annotations
 
+import math
+
+import msgspec
+
 #: Time after the stop signal in which new streams are accepted, in ms. The
 #: load balancer sends new callers until it has missed two probes, a second
 #: apart. The users accept that the kill cuts streams off, but only those that
@@ -25,6 +30,11 @@
 #: Fraction of the time from the stop signal to the kill by which responses that
 #: are still being sent are given up.
 SEND_COMPLETION_SHARE = 0.98
+#: Multiple of a caller's estimate of its output that a stream is unlikely to
+#: exceed; half of all streams are longer than estimated.
+ESTIMATE_MARGIN = 2.0
+#: Factor for the wait for the first event, and for steps that become longer.
+DURATION_MARGIN = 1.25
 #: Time beyond its deadline within which a caller has its refusal, in ms, on a
 #: busy host too: an upstream's response at the deadline is waited for.
 REFUSAL_SLACK_MS = 250.0
@@ -40,6 +50,31 @@
     return not active and (not store_lost or successors > 0)
 
 
+class StreamLength(msgspec.Struct, frozen=True):
+    """Describe how long a stream may become, in tokens; 0 where not stated.
+
+    ``max_output`` is the caller's bound on its output and ``expected`` its
+    estimate of it, ``per_step`` the tokens that one engine step writes.
+    """
+
+    max_output: int
+    expected: int
+    per_step: int
+
+
+def longest_stream_ms(length: StreamLength, step_ms: float) -> float | None:
+    """Return the time that a stream is unlikely to exceed, None if unknown.
+
+    ``step_ms`` is the recent time of an engine step.
+    """
+    tokens = ESTIMATE_MARGIN * length.expected
+    if length.max_output:
+        tokens = min(tokens or math.inf, length.max_output)
+    if not tokens:
+        return None
+    return DURATION_MARGIN * step_ms * tokens / length.per_step
+
+
 def completion_ms(shutdown_ms: float) -> float:
     """Return the time from the stop signal by which calls must have ended.
 
@@ -57,14 +92,29 @@
     shutdown_ms: float,
     *,
     streaming: bool,
+    longest_ms: float | None = None,
 ) -> bool:
     """Tell whether a call can be answered before the process is killed.
 
     ``since_signal_ms`` is the time since the stop signal, ``max_call_ms`` the
-    longest time that the call may take, and ``shutdown_ms`` the time from the
-    signal to the kill.
+    time to the call's deadline, and ``shutdown_ms`` the time from the signal to
+    the kill. A stream may be accepted although its deadline is later, if it is
+    unlikely to take longer than ``longest_ms``, which is None where unknown.
     """
-    if streaming:
-        return since_signal_ms < STREAM_ACCEPT_MS
     ends_at_ms = since_signal_ms + max_call_ms + REFUSAL_SLACK_MS
+    if ends_at_ms < completion_ms(shutdown_ms):
+        return True
+    if not streaming or since_signal_ms >= STREAM_ACCEPT_MS:
+        return False
+    return can_finish(since_signal_ms, shutdown_ms, longest_ms)
+
+
+def can_finish(
+    since_signal_ms: float, shutdown_ms: float, longest_ms: float | None
+) -> bool:
+    """Tell whether what begins now is likely to end before calls are cut off.
+
+    ``longest_ms`` is None where its duration is unknown.
+    """
+    ends_at_ms = since_signal_ms + (longest_ms or 0)
     return ends_at_ms < completion_ms(shutdown_ms)
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -13,6 +13,7 @@
 from amaranthrail.direct.shutdown import GracefulShutdown
 from amaranthrail.direct.sync import StoreStatus
 from amaranthrail.metrics import Metrics
+from amaranthrail.policy.shutdown import StreamLength, longest_stream_ms
 from amaranthrail.signals import StopTimes
 from amaranthrail.types import Millis, ServiceName
 
@@ -28,15 +29,23 @@
 class StoppedEntry:
     """Send calls to the shutdown of an entry on a clock that a test moves."""
 
-    def __init__(self, signal_delay_ms: float) -> None:
-        """Send the stop signal now; it is handled after ``signal_delay_ms``."""
+    def __init__(
+        self, signal_delay_ms: float = 0, longest_ms: float | None = None
+    ) -> None:
+        """Send the stop signal now; it is handled after ``signal_delay_ms``.
+
+        ``longest_ms`` is the estimate of the duration of all streams.
+        """
         self._time = FakeTime()
         clock = Clock(self._time)
         self._sent_at = clock.now()
         self._clock = clock
         self.metrics = Metrics()
         self.shutdown = GracefulShutdown(
-            StoreStatus(clock), Members('127.0.0.1', clock), self.metrics
+            StoreStatus(clock),
+            Members('127.0.0.1', clock),
+            self.metrics,
+            lambda _call: longest_ms,
         )
         self._time.advance_ms(signal_delay_ms)
         times = StopTimes(self._sent_at, clock.now())
@@ -57,6 +66,12 @@
         self._time.advance_ms(max(0, sent_ms - self.since_signal_ms))
         return self.shutdown.refuse(self._call(kind)) is None
 
+    def may_retry(self, since_signal_ms: float) -> bool:
+        """Tell whether a stream that has not run may be sent again."""
+        self._time.advance_ms(since_signal_ms - self.since_signal_ms)
+        call = self._call(CallKind.STREAMING)
+        return self.shutdown.refuse_retry(call) is None
+
     def _call(self, kind: CallKind) -> Call:
         now = self._clock.now()
         service = ServiceName('engine')
@@ -96,3 +111,50 @@
     ]
     assert accepted
     assert max(accepted) <= LATEST_CUT_STREAM_MS
+
+
+@pytest.mark.parametrize(
+    ('longest_ms', 'sent_ms', 'accepted'),
+    [
+        (None, 2800, True),
+        (4000, 2800, True),
+        (5000, 2800, False),
+        (5000, 2400, True),
+        (9000, 0, False),
+        (100, 3200, False),
+    ],
+)
+def test_a_stream_that_is_likely_to_be_cut_off_is_refused(
+    longest_ms: float | None, sent_ms: float, *, accepted: bool
+) -> None:
+    """Guards against streams that end in the middle and could have moved."""
+    entry = StoppedEntry(longest_ms=longest_ms)
+    assert entry.accepts(sent_ms) is accepted
+
+
+@pytest.mark.parametrize(
+    ('longest_ms', 'since_signal_ms', 'retried'),
+    [(None, 7000, True), (1000, 6000, True), (1000, 7000, False)],
+)
+def test_a_late_retry_that_cannot_end_is_refused(
+    longest_ms: float | None, since_signal_ms: float, *, retried: bool
+) -> None:
+    """Guards against a retry that is cut off though it had not run."""
+    entry = StoppedEntry(longest_ms=longest_ms)
+    assert entry.may_retry(since_signal_ms) is retried
+
+
+@pytest.mark.parametrize(
+    ('length', 'step_ms', 'longest_ms'),
+    [
+        (StreamLength(max_output=0, expected=0, per_step=7), 60, None),
+        (StreamLength(max_output=70, expected=0, per_step=7), 60, 750),
+        (StreamLength(max_output=0, expected=70, per_step=7), 60, 1500),
+        (StreamLength(max_output=700, expected=70, per_step=7), 60, 1500),
+        (StreamLength(max_output=70, expected=700, per_step=7), 60, 750),
+    ],
+)
+def test_the_longest_time_of_a_stream_follows_its_length(
+    length: StreamLength, step_ms: float, longest_ms: float | None
+) -> None:
+    assert longest_stream_ms(length, step_ms) == longest_ms
