--- a/tests/test_shutdown_border.py
+++ b/tests/test_shutdown_border.py
@@ -290,6 +290,6 @@
     """Guard against streams that are cut off though they end in time."""
     shutdown = shutdowns[case]
     (stream,) = shutdown.results
-    assert (stream.end, stream.is_complete) == ('200', True)
-    assert shutdown.exit_code == 0
+    assert (stream.end, stream.is_complete) == ('200', True), stream
+    assert shutdown.exit_code == 0, shutdown
     assert _STREAM_END_S < shutdown.ended_s < _GRACE_S
