Refuse what reaches a sidecar while it shuts down

Entries saw the connection of a sidecar without work close as soon as it got SIGTERM. What they had sent meanwhile (calls, queries of attempts and keys) had no answer. By the code of the entry, the outcome is then unknown (peer-gone): a call that may run once only is recorded as lost, and another one takes a retry from the budget, though nothing has run.

Cause: the sidecar looked once whether a run or a response was left and cancelled its tasks in the same step. The heartbeat that tells entries to send nothing more was queued and never sent.

It now ends after several checks in a row that found nothing left, like an entry, so that the heartbeat and refusals are sent. A dispatch of an entry that does not run for all of that time still has no answer.

--- a/src/amaranthrail/sidecar/service.py
+++ b/src/amaranthrail/sidecar/service.py
@@ -13,6 +13,7 @@
     ServerLimits,
     ServerState,
     serve_connection,
+    wait_until_quiet,
 )
 from ..adapters.link import Link
 from ..adapters.listen import handler_with_tls, open_listeners
@@ -36,7 +37,6 @@
 from .worker import Worker
 
 _SWEEP_MS = 1000.0
-_DRAIN_POLL_MS = 20.0
 _MAX_ADMIN_BODY_BYTES = 1024
 _NOT_FOUND = 404
 _log = part_logger('sidecar')
@@ -86,8 +86,9 @@
         """Serve until stopped, then until no response is undelivered.
 
         A response is undelivered until its entry acknowledges it or its
-        retention time ends. The setting ``shutdown_ms`` bounds the wait.
-        Passes the peer port to ``task_status`` once it listens.
+        retention time ends. Work that arrives meanwhile is refused. The
+        setting ``shutdown_ms`` bounds the wait. Passes the peer port to
+        ``task_status`` once it listens.
         """
         settings = self._settings
         peer_listeners = await open_listeners(settings.listen, '--listen')
@@ -223,8 +224,14 @@
         for peer in tuple(self._peers):
             peer.send_heartbeat()
         with move_on_after(self._settings.shutdown_ms):
-            while (
-                self._gate.unfinished_runs() or self._gate.count_undelivered()
-            ):
-                await sleep(_DRAIN_POLL_MS)
-                self._gate.sweep()
+            await wait_until_quiet(self._is_busy)
+
+    def _is_busy(self) -> bool:
+        """Tell whether a run or the delivery of its response goes on.
+
+        Entries send work until they have the heartbeat of the shutdown. It is
+        refused meanwhile: without a refusal its outcome would be unknown.
+        """
+        return bool(
+            self._gate.unfinished_runs() or self._gate.count_undelivered()
+        )
