Send all queued frames before a sidecar ends

An entry that queries the outcome of an attempt got a part of the response if the sidecar shut down while the response waited to be sent. By the code of the entry, the attempt is then recorded as lost though it has run.

Cause: the shutdown waits for responses that are not acknowledged, by the request id of the dispatch. A queried response has another id, and refusals have none, so that their frames were left in the queue of the connection, or in the middle of a write, as the tasks were cancelled.

The sidecar now also waits until each connection has handed its queued frames to the stream.

--- a/src/amaranthrail/adapters/link.py
+++ b/src/amaranthrail/adapters/link.py
@@ -55,6 +55,7 @@
         self._decoder = FrameDecoder(MAX_HANDSHAKE_BYTES)
         self._received: deque[AnyFrame] = deque()
         self._outbox = bytearray()
+        self._flushing = False
         self._wake = trio.Event()
         self._received_at = clock.now()
 
@@ -63,6 +64,11 @@
         """Return the time since bytes were last received."""
         return Millis(self._clock.now() - self._received_at)
 
+    @property
+    def has_unsent(self) -> bool:
+        """Tell whether a queued frame has not been handed to the stream."""
+        return bool(self._outbox) or self._flushing
+
     def allow_full_frames(self) -> None:
         """Accept frames up to the full size, from an authenticated peer."""
         self._decoder = FrameDecoder()
@@ -88,10 +94,13 @@
         """Send the queued frames. Raises LinkClosedError."""
         payload = bytes(self._outbox)
         self._outbox.clear()
+        self._flushing = True
         try:
             await self._stream.send_all(payload)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise LinkClosedError('peer closed') from error
+        finally:
+            self._flushing = False
 
     async def receive(self) -> AnyFrame:
         """Return the next frame. Raises LinkClosedError or FrameError."""
--- a/src/amaranthrail/sidecar/peers.py
+++ b/src/amaranthrail/sidecar/peers.py
@@ -109,6 +109,11 @@
         self._connections = connections
         self._unsubscribe_by_request: dict[str, Callable[[], None]] = {}
 
+    @property
+    def has_unsent(self) -> bool:
+        """Tell whether frames are queued that have not been sent."""
+        return self._link.has_unsent
+
     async def serve(self) -> None:
         """Do the handshake, then exchange frames until the connection ends."""
         hello: Hello | None = None
--- a/src/amaranthrail/sidecar/service.py
+++ b/src/amaranthrail/sidecar/service.py
@@ -227,11 +227,13 @@
             await wait_until_quiet(self._is_busy)
 
     def _is_busy(self) -> bool:
-        """Tell whether a run or the delivery of its response goes on.
+        """Tell whether a run, its response or any other frame is to be sent.
 
         Entries send work until they have the heartbeat of the shutdown. It is
         refused meanwhile: without a refusal its outcome would be unknown.
         """
         return bool(
-            self._gate.unfinished_runs() or self._gate.count_undelivered()
+            self._gate.unfinished_runs()
+            or self._gate.count_undelivered()
+            or any(peer.has_unsent for peer in self._peers)
         )
--- a/tests/test_sidecar_end.py
+++ b/tests/test_sidecar_end.py
@@ -10,6 +10,7 @@
 from amaranthrail.adapters.link import Link, client_handshake
 from amaranthrail.clock import Clock
 from amaranthrail.frames import (
+    Ack,
     AttemptQuery,
     Dispatch,
     Frame,
@@ -17,6 +18,7 @@
     Hello,
     KeyQuery,
     Refused,
+    ResponseEnd,
     Welcome,
 )
 from amaranthrail.outcomes import Reason
@@ -30,7 +32,9 @@
 MakeOpening = Callable[[str], Frame]
 #: Time within which a sidecar without work ends, in seconds.
 END_S = 2
+#: Bytes of a response, and queries of it: together more than the sockets hold.
 RESPONSE_BYTES = 1_000_000
+QUERIES = 12
 
 
 def _new_sidecar(upstream_port: int) -> Sidecar:
@@ -86,6 +90,14 @@
         await stream.send_all(head.encode() + bytes(RESPONSE_BYTES))
 
 
+async def _receive_end(link: Link, request: str) -> None:
+    """Wait for the end of a response."""
+    while True:
+        frame = await link.receive()
+        if isinstance(frame, ResponseEnd) and frame.request == request:
+            return
+
+
 async def _wait_leaving(link: Link) -> None:
     """Wait for the heartbeat that says that the sidecar shuts down."""
     while True:
@@ -128,3 +140,28 @@
 
     _run_sidecar(scenario)
     assert refusals == [reason.value]
+
+
+def test_a_queried_response_is_sent_whole_before_the_end() -> None:
+    """Guards against an end with frames that the sockets do not take yet.
+
+    Responses that an entry queries are acknowledged under no request id.
+    """
+
+    async def scenario(sidecar: Sidecar, link: Link, welcome: Welcome) -> None:
+        incarnation = welcome.incarnation
+        link.enqueue(_dispatch(incarnation, 'n'))
+        await link.flush()
+        await _receive_end(link, 'r')
+        link.enqueue(Ack('r', RESPONSE_BYTES, done=True))
+        names = [f'q{number}' for number in range(QUERIES)]
+        for name in names:
+            link.enqueue(AttemptQuery(name, incarnation, 'n'))
+        await link.flush()
+        await trio.sleep(0.2)
+        sidecar.stop()
+        await trio.sleep(0.3)
+        for name in names:
+            await _receive_end(link, name)
+
+    _run_sidecar(scenario)
