Let repeated stop signals not end a process that is shutting down

A process that got SIGTERM again as it finished ended by that signal: its exit status was -15, and the last lines of its log were missing in two of five trials (the last one was "leaving").

Cause: trio restores the default handlers when the task that receives signals is cancelled, and gives them the signals not read yet. That is before the last log lines are written. The end of the interpreter also sets the default of all handlers that are Python functions.

Before trio's receiver is opened, the handlers are replaced by one that does nothing, while the signals are blocked so that none is lost; after the receiver the signals are ignored.

--- a/src/amaranthrail/daemon.py
+++ b/src/amaranthrail/daemon.py
@@ -24,6 +24,7 @@
     load_settings,
 )
 from .sidecar.service import Sidecar
+from .signals import receive_signals
 
 EXIT_SETTING = 2
 
@@ -112,7 +113,7 @@
 
 
 async def _stop_on_signal(process: _Process) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    with receive_signals(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
             process.stop()
 
--- a/src/amaranthrail/platform/program.py
+++ b/src/amaranthrail/platform/program.py
@@ -23,7 +23,7 @@
     configure_logs,
     part_logger,
 )
-from ..signals import LoopMonitor, on_stop_signal
+from ..signals import LoopMonitor, on_stop_signal, receive_signals
 from . import headers, records
 from .ranks import HttpRank
 from .settings import SETTINGS_VARIABLE, load_settings
@@ -104,7 +104,7 @@
 
 
 async def _reload_on_signal(entry: DirectEntry, path: Path) -> None:
-    with trio.open_signal_receiver(signal.SIGHUP) as signals:
+    with receive_signals(signal.SIGHUP) as signals:
         async for _ in signals:
             _reload(entry, path)
 
--- a/src/amaranthrail/signals.py
+++ b/src/amaranthrail/signals.py
@@ -1,9 +1,10 @@
-"""Receive stop signals and bound the time at which they were sent."""
+"""Receive signals, and bound the time at which a stop signal was sent."""
 
 from __future__ import annotations
 
 import signal
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import contextmanager, suppress
 from types import FrameType
 
 import msgspec
@@ -65,6 +66,34 @@
 
     def handle(_number: int, _frame: FrameType | None) -> None:
         times = StopTimes(monitor.last_wait_at, clock.now())
-        token.run_sync_soon(stop, times)
+        # A signal that is sent again may come after the event loop has ended.
+        with suppress(trio.RunFinishedError):
+            token.run_sync_soon(stop, times)
 
     signal.signal(signal.SIGTERM, handle)
+
+
+@contextmanager
+def receive_signals(*numbers: signal.Signals) -> Iterator[AsyncIterator[int]]:
+    """Yield the signals that arrive; ignore them after the block.
+
+    trio restores the earlier handlers at the end of its receiver. With the
+    default ones, a SIGTERM that is sent again would end the process before its
+    last log lines are written, and with another exit status.
+    """
+    # Blocked signals stay pending, so that none is lost before the receiver.
+    signal.pthread_sigmask(signal.SIG_BLOCK, numbers)
+    for number in numbers:
+        signal.signal(number, _ignore)
+    try:
+        with trio.open_signal_receiver(*numbers) as received:
+            signal.pthread_sigmask(signal.SIG_UNBLOCK, numbers)
+            yield received
+    finally:
+        # The end of the interpreter restores the default of other handlers.
+        for ended in numbers:
+            signal.signal(ended, signal.SIG_IGN)
+
+
+def _ignore(_number: int, _frame: object) -> None:
+    """Handle a signal by doing nothing."""
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -22,6 +22,9 @@
 
 from .platformbench import wait_until
 
+#: Time between two stop signals, in seconds.
+RESEND_S = 0.0005
+
 
 def run_with_fleet(
     scenario: Callable[[PlatformFleet, EntryProcess], Awaitable[None]],
@@ -60,6 +63,30 @@
     run_with_fleet(scenario)
 
 
+def test_stop_signals_sent_again_do_not_end_a_shutdown() -> None:
+    """Guards against an end by the signal and without the last log lines.
+
+    A SIGTERM that came as the entry had finished met the default handler.
+    """
+
+    async def scenario(_fleet: PlatformFleet, entry: EntryProcess) -> None:
+        statuses: list[int] = []
+
+        async def wait() -> None:
+            statuses.append(await entry.wait())
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(wait)
+            while not statuses:
+                entry.send_signal(signal.SIGTERM)
+                await trio.sleep(RESEND_S)
+        assert statuses == [0]
+        last_line = entry.log_text().splitlines()[-1]
+        assert json.loads(last_line)['event'] == 'entry: ended'
+
+    run_with_fleet(scenario)
+
+
 @pytest.mark.parametrize('signalled', [True, False])
 def test_changed_settings_are_reloaded(*, signalled: bool) -> None:
     async def scenario(fleet: PlatformFleet, entry: EntryProcess) -> None:
