End a sidecar without a wait for runs that were cancelled

A sidecar that got SIGTERM within 30 s after a caller had disconnected, or a deadline had cancelled a call, went on until the 30 s were over. A host that kills it earlier ends it in the middle of other deliveries.

Cause: the entry of a cancelled run acknowledges no response, so that the run counted as undelivered until its retention time ended.

Evidence: test_a_sidecar_does_not_wait_for_cancelled_runs failed before with TooSlowError: the sidecar had not ended 2 s after the stop.

A run that its entry has cancelled is not counted as undelivered any more. Until it has ended it is still waited for.

--- a/src/amaranthrail/sidecar/gate.py
+++ b/src/amaranthrail/sidecar/gate.py
@@ -137,8 +137,11 @@
         return [run for run in self._by_request.values() if not run.ended]
 
     def count_undelivered(self) -> int:
-        """Return how many runs no entry has acknowledged in full."""
-        return len(self._by_request)
+        """Return how many responses are awaited and not acknowledged in full.
+
+        The entry of a run that it has cancelled acknowledges nothing.
+        """
+        return sum(not run.abandoned for run in self._by_request.values())
 
     def _find_duplicate(self, dispatch: Dispatch) -> Run | None:
         if dispatch.intent:
--- a/src/amaranthrail/sidecar/peers.py
+++ b/src/amaranthrail/sidecar/peers.py
@@ -320,7 +320,7 @@
         if run is None or run.dispatch.intent:
             return
         self._stop_sending(request)
-        run.scope.cancel()
+        run.abandon()
 
     def _refuse(self, request: str, reason: Reason, detail: str) -> None:
         stamp = self._runtime.clock.stamp()
--- a/src/amaranthrail/sidecar/run.py
+++ b/src/amaranthrail/sidecar/run.py
@@ -62,6 +62,7 @@
         self._complete = False
         self._failure: Refusal | None = None
         self._scope = trio.CancelScope()
+        self._abandoned = False
         self._acknowledged = trio.Event()
         self._listeners: list[ChangeListener] = []
 
@@ -83,6 +84,11 @@
         """Return the scope whose cancellation stops the run."""
         return self._scope
 
+    @property
+    def abandoned(self) -> bool:
+        """Tell whether its entry has cancelled it and awaits no response."""
+        return self._abandoned
+
     @property
     def arrived_at(self) -> float:
         """Return when the request arrived, in monotonic milliseconds."""
@@ -123,6 +129,11 @@
         """Tell whether the response is complete or the run has failed."""
         return self._complete or self._failure is not None
 
+    def abandon(self) -> None:
+        """Stop the run for an entry that awaits no response."""
+        self._abandoned = True
+        self._scope.cancel()
+
     def mark_started(self) -> None:
         """Record that the request is about to be sent to the upstream."""
         self._started = True
--- a/tests/test_sidecar_end.py
+++ b/tests/test_sidecar_end.py
@@ -12,6 +12,7 @@
 from amaranthrail.frames import (
     Ack,
     AttemptQuery,
+    Cancel,
     Dispatch,
     Frame,
     Heartbeat,
@@ -165,3 +166,16 @@
             await _receive_end(link, name)
 
     _run_sidecar(scenario)
+
+
+def test_a_sidecar_does_not_wait_for_cancelled_runs() -> None:
+    """Guards against an end 30 s late after a caller has disconnected."""
+
+    async def scenario(sidecar: Sidecar, link: Link, welcome: Welcome) -> None:
+        link.enqueue(_dispatch(welcome.incarnation, ''))
+        link.enqueue(Cancel('r'))
+        await link.flush()
+        await trio.sleep(0.2)
+        sidecar.stop()
+
+    _run_sidecar(scenario)
