End an entry that is stopped before it listens

An entry waits up to 5 s for a port that is in use. SIGTERM in that time started the shutdown only once the ports were free, and the entry then accepted calls by a time that counted from there: in a trial with the port held for 4 s it accepted calls from 4 to 10 s after the signal and answered the last at 11.2 s, while the kill comes at 8 s. The class is that of the late signal: time counted from the handling.

--- a/src/amaranthrail/direct/service.py
+++ b/src/amaranthrail/direct/service.py
@@ -150,6 +150,7 @@
         )
         self._stop_times: StopTimes | None = None
         self._stop_requested = trio.Event()
+        self._opening = trio.CancelScope()
 
     @property
     def settings(self) -> DirectSettings:
@@ -184,6 +185,9 @@
         now = self._clock.now()
         self._stop_times = self._stop_times or times or StopTimes(now, now)
         self._stop_requested.set()
+        # An entry that does not listen yet serves nobody: calls that it takes
+        # once its ports are free would be cut off by the kill.
+        self._opening.cancel()
 
     def apply_settings(self, settings: DirectSettings) -> None:
         """Put changed settings in force; new addresses need a restart."""
@@ -199,10 +203,14 @@
     async def run(self) -> None:
         """Serve until stop() is called and the shutdown is done."""
         settings = self._settings
-        probes = await open_listeners(settings.probes, 'probes')
-        peers = await self._listen_internal(settings.peer_port)
-        metrics = await self._listen_internal(settings.metrics_port)
-        callers = await open_listeners(settings.callers, 'callers')
+        with self._opening:
+            probes = await open_listeners(settings.probes, 'probes')
+            peers = await self._listen_internal(settings.peer_port)
+            metrics = await self._listen_internal(settings.metrics_port)
+            callers = await open_listeners(settings.callers, 'callers')
+        if self._opening.cancel_called:
+            _log.info('ended')
+            return
         _log.info('started', entry=settings.name, domain=settings.domain)
         async with trio.open_nursery() as nursery:
             for task in (
