Answer administration calls before an entry ends

Operators whose drain, manifest or resolve call was in progress as an entry with sidecars ended got a closed connection, though the order may have taken effect: calls on the administration port did not count as calls in progress.

They count now. test_an_administration_call_at_the_end_of_an_entry_is_answered failed in 5 of 5 runs before (RemoteDisconnected four times, connection refused once, which was not traced) and passes now.

--- a/src/amaranthrail/entry/service.py
+++ b/src/amaranthrail/entry/service.py
@@ -81,6 +81,9 @@
         self._caller_server_state = ServerState(
             lambda: ServerLimits(self._context.max_body_bytes),
         )
+        self._admin_server_state = ServerState(
+            lambda: ServerLimits(_MAX_ADMIN_BODY_BYTES)
+        )
         self._callers_served = trio.Event()
         self._stopping = trio.Event()
 
@@ -155,7 +158,7 @@
                 self._context, keyed_requests, self._control, self._log_service
             ),
         )
-        state = ServerState(lambda: ServerLimits(_MAX_ADMIN_BODY_BYTES))
+        state = self._admin_server_state
 
         async def serve(stream: trio.abc.Stream) -> None:
             await serve_connection(stream, administration.handle, state)
@@ -176,6 +179,7 @@
     def _is_busy(self, keyed_requests: KeyedRequests) -> bool:
         return bool(
             self._caller_server_state.active
+            or self._admin_server_state.active
             or keyed_requests.in_progress
             or self._shards.pending_count,
         )
