--- a/tests/test_late_in_grace.py
+++ b/tests/test_late_in_grace.py
@@ -131,6 +131,32 @@
     run_on_platform(scenario)
 
 
+@pytest.mark.parametrize('pause_s', [0.3, 1])
+@pytest.mark.parametrize('sent_first', [10, len(REQUEST) - 5])
+def test_a_request_that_arrives_in_parts_at_the_end_is_answered(
+    sent_first: int, pause_s: float
+) -> None:
+    """Guards against a connection that is closed amid a slow request."""
+    responses: list[bytes] = []
+
+    async def scenario(bench: PlatformBench) -> None:
+        await bench.add_replica('p1')
+        entry = await bench.start_entry()
+        await entry.until_ready()
+        address = (entry.address.host, entry.address.port)
+        with socket.create_connection(address) as caller:
+            entry.entry.stop()
+            await trio.sleep(IDLE_CLOSE_DELAY_MS / 1000)
+            caller.sendall(REQUEST[:sent_first])
+            await trio.sleep(pause_s)
+            caller.sendall(REQUEST[sent_first:])
+            await entry.until_ended()
+            responses.append(read_until_closed(caller))
+
+    run_on_platform(scenario)
+    assert responses[0].startswith(b'HTTP/1.1 404 ')
+
+
 @pytest.mark.parametrize('path', ['/read/1', '/stream/1'])
 def test_a_call_at_the_deadline_of_a_shutdown_gets_an_answer(
     path: str,
