Apply a shutdown to requests read in the same pass as its signal

The shutdown began two passes of the event loop after the handler of SIGTERM. A process that was held up reads its requests in the first of them and accepted every one, however long after the signal: streams that it then cuts off, and plain calls that last beyond the kill. The handler now records the times of the signal itself.

--- a/src/amaranthrail/direct/callerserver.py
+++ b/src/amaranthrail/direct/callerserver.py
@@ -75,6 +75,13 @@
         await serve_until(listeners, serve, self._state.wait_until_ending)
         self._served.set()
 
+    def record_stop(self, times: StopTimes) -> None:
+        """Apply the shutdown to calls that arrive from now on.
+
+        May be called in a signal handler.
+        """
+        self._shutdown.record_stop(times, self._read_settings().shutdown_ms)
+
     async def shut_down(
         self, times: StopTimes, is_idle: Callable[[], bool]
     ) -> None:
--- a/src/amaranthrail/direct/service.py
+++ b/src/amaranthrail/direct/service.py
@@ -177,13 +177,22 @@
         """Tell whether the latest call to the store failed."""
         return self._store_status.lost
 
+    def record_stop(self, times: StopTimes) -> None:
+        """Refuse from now on the calls that are too late for the shutdown.
+
+        ``times`` are those of the stop signal; later ones change nothing. May
+        be called in a signal handler.
+        """
+        self._stop_times = self._stop_times or times
+        self._caller_server.record_stop(self._stop_times)
+
     def stop(self, times: StopTimes | None = None) -> None:
         """Request the graceful shutdown; run() returns once it is done.
 
         ``times`` are those of the stop signal, None for the present time.
         """
         now = self._clock.now()
-        self._stop_times = self._stop_times or times or StopTimes(now, now)
+        self.record_stop(times or StopTimes(now, now))
         self._stop_requested.set()
         # An entry that does not listen yet serves nobody: calls that it takes
         # once its ports are free would be cut off by the kill.
--- a/src/amaranthrail/direct/shutdown.py
+++ b/src/amaranthrail/direct/shutdown.py
@@ -66,12 +66,23 @@
         from the earliest moment at which the signal may have been sent: a busy
         process handles it late, and the kill does not wait for it.
         """
-        self._log.begin(times, active)
+        self.record_stop(times, shutdown_ms)
+        self._log.begin(active)
         self._members.begin_shutdown()
+        return self._deadline
+
+    def record_stop(self, times: StopTimes, shutdown_ms: Millis) -> None:
+        """Decide by the stop signal from now on; later ones change nothing.
+
+        ``shutdown_ms`` is as in begin(). May be called in a signal handler.
+        """
+        if self._began_at is not None:
+            return
+        self._log.record_stop(times)
         self._shutdown_ms = shutdown_ms
+        self._deadline = Millis(times.earliest + completion_ms(shutdown_ms))
+        # Set last: it tells that the rest is known.
         self._began_at = times.earliest
-        self._deadline = Millis(self._began_at + completion_ms(shutdown_ms))
-        return self._deadline
 
     @property
     def send_deadline(self) -> float:
--- a/src/amaranthrail/direct/shutdownlog.py
+++ b/src/amaranthrail/direct/shutdownlog.py
@@ -35,7 +35,7 @@
     """Count the calls of a graceful shutdown and log a summary of them."""
 
     def __init__(self, clock: Clock, metrics: Metrics) -> None:
-        """Count nothing until begin() is called."""
+        """Count nothing until record_stop() is called."""
         self._clock = clock
         self._metrics = metrics
         self._times: StopTimes | None = None
@@ -49,9 +49,15 @@
         """Tell whether calls that are still in progress are broken off."""
         return self._has_ended
 
-    def begin(self, times: StopTimes, active: int) -> None:
-        """Log the start of a shutdown with ``active`` calls in progress."""
+    def record_stop(self, times: StopTimes) -> None:
+        """Count calls from now on; may be called in a signal handler."""
         self._times = times
+
+    def begin(self, active: int) -> None:
+        """Log the start of a shutdown with ``active`` calls in progress."""
+        times = self._times
+        if times is None:
+            return
         handled_ms = self._clock.now() - times.received_at
         _log.info(
             'leaving',
--- a/src/amaranthrail/platform/program.py
+++ b/src/amaranthrail/platform/program.py
@@ -93,7 +93,7 @@
     writer: BoundedWriter,
     monitor: LoopMonitor,
 ) -> None:
-    on_stop_signal(Clock(), monitor, entry.stop)
+    on_stop_signal(Clock(), monitor, entry.record_stop, entry.stop)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(writer.run)
         nursery.start_soon(_reload_on_signal, entry, path)
--- a/src/amaranthrail/signals.py
+++ b/src/amaranthrail/signals.py
@@ -55,17 +55,23 @@
 
 
 def on_stop_signal(
-    clock: Clock, monitor: LoopMonitor, stop: Callable[[StopTimes], None]
+    clock: Clock,
+    monitor: LoopMonitor,
+    record_stop: Callable[[StopTimes], None],
+    stop: Callable[[StopTimes], None],
 ) -> None:
     """Call ``stop`` in the event loop for each SIGTERM.
 
-    Called inside of ``trio.run``, in the main thread. The default action of
-    the signal is replaced at once.
+    ``record_stop`` is called before, in the signal handler: the event loop may
+    first run tasks whose requests have arrived after the signal. Called inside
+    of ``trio.run``, in the main thread. The default action of the signal is
+    replaced at once.
     """
     token = trio.lowlevel.current_trio_token()
 
     def handle(_number: int, _frame: FrameType | None) -> None:
         times = StopTimes(monitor.last_wait_at, clock.now())
+        record_stop(times)
         # A signal that is sent again may come after the event loop has ended.
         with suppress(trio.RunFinishedError):
             token.run_sync_soon(stop, times)
--- a/tests/test_shutdown_review.py
+++ b/tests/test_shutdown_review.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+import socket
 from collections.abc import Iterator
 
 import pytest
@@ -10,6 +11,19 @@
 
 from amaranthrail.clock import Clock
 from amaranthrail.signals import LoopMonitor, StopTimes, on_stop_signal
+from amaranthrail.types import Millis
+
+from .platformbench import PlatformBench, run_on_platform
+
+#: Entries of one test: which of two tasks runs first is random in each.
+_ENTRIES = 10
+#: The users excuse streams that are cut off if they were sent up to 3 s after
+#: the stop signal; these are sent later.
+_SIGNAL_AGE_MS = 3500
+STREAM_REQUEST = (
+    b'GET /stream/%d HTTP/1.1\r\nhost: h.example\r\nattempt-id: a%d\r\n'
+    b'authorization: Token k1\r\n\r\n'
+)
 
 
 @pytest.fixture
@@ -27,11 +41,65 @@
     The handler stays installed until the process has exited.
     """
     clock = Clock()
+    recorded: list[StopTimes] = []
     received: list[StopTimes] = []
 
     async def main() -> None:
-        on_stop_signal(clock, LoopMonitor(clock), received.append)
+        on_stop_signal(
+            clock, LoopMonitor(clock), recorded.append, received.append
+        )
 
     trio.run(main)
     signal.raise_signal(signal.SIGTERM)
+    assert len(recorded) == 1
     assert not received
+
+
+def test_a_late_request_read_with_the_stop_signal_is_refused() -> None:
+    """Guards against calls that are accepted before the shutdown has begun.
+
+    A process that was held up reads the signal and the requests that came
+    after it at the same time.
+    """
+    executed: list[str] = []
+
+    async def scenario(bench: PlatformBench) -> None:
+        bench.configure(routes=[_stream_route()])
+        replica = await bench.add_replica('e1', 'engine')
+        entries = [await bench.start_entry() for _ in range(_ENTRIES)]
+        callers = []
+        for entry in entries:
+            await entry.until_ready()
+            address = (entry.address.host, entry.address.port)
+            callers.append(socket.create_connection(address))
+        await trio.sleep(0.3)
+        clock = Clock()
+        for number, caller in enumerate(callers):
+            caller.sendall(STREAM_REQUEST % (number, number))
+            sent_at = clock.now() - _SIGNAL_AGE_MS
+            times = StopTimes(Millis(sent_at), clock.now())
+            entries[number].entry.stop(times)
+            # Each entry reads in a pass of the event loop of its own.
+            await trio.sleep(0.05)
+        await trio.sleep(1)
+        executed.extend(request.path for request in replica.executed)
+        for caller in callers:
+            caller.close()
+
+    run_on_platform(scenario)
+    assert not executed
+
+
+def _stream_route() -> dict[str, object]:
+    """Return a route whose streams may last until after the kill."""
+    return {
+        'name': 'stream',
+        'host': 'h.example',
+        'path_prefix': '/stream/',
+        'kind': 'streaming',
+        'timeout_ms': 30000,
+        'target_latency_ms': 400,
+        'priority': 1,
+        'service': 'engine',
+        'max_attempts': 1,
+    }
