Cut calls off no earlier than the users bound after a late signal

The time of the cut was counted from the earliest moment of the stop signal, the lower bound of 0.85 of the grace period too. A process that was busy for over 0.85 s before the signal cut its streams off before the last sixth of the grace period. The lower bound now counts from the latest moment, as long as the cut stays 250 ms before the earliest kill.

Without the change: FAILED test_no_call_is_cut_off_before_the_share_that_the_users_bound[900] FAILED test_no_call_is_cut_off_before_the_share_that_the_users_bound[1000]

--- a/src/amaranthrail/direct/shutdown.py
+++ b/src/amaranthrail/direct/shutdown.py
@@ -15,7 +15,7 @@
     can_accept_call,
     can_exit,
     can_finish,
-    completion_ms,
+    cut_off_ms,
 )
 from ..signals import StopTimes
 from ..types import Millis
@@ -80,7 +80,9 @@
             return
         self._log.record_stop(times)
         self._shutdown_ms = shutdown_ms
-        self._deadline = Millis(times.earliest + completion_ms(shutdown_ms))
+        self._deadline = Millis(
+            times.earliest + cut_off_ms(shutdown_ms, times.uncertainty_ms)
+        )
         # Set last: it tells that the rest is known.
         self._began_at = times.earliest
 
--- a/src/amaranthrail/policy/shutdown.py
+++ b/src/amaranthrail/policy/shutdown.py
@@ -86,6 +86,20 @@
     return max(MIN_COMPLETION_SHARE * shutdown_ms, latest_ms)
 
 
+def cut_off_ms(shutdown_ms: float, uncertainty_ms: float) -> float:
+    """Return the time from the earliest stop signal until calls are cut off.
+
+    The signal was sent up to ``uncertainty_ms`` later than the earliest moment.
+    Streams may be cut off only in the last part of the time from the signal,
+    so the cut is later than completion_ms() where the signal may have been sent
+    late, but MIN_END_MS before the earliest moment of the kill.
+    """
+    least_ms = uncertainty_ms + MIN_COMPLETION_SHARE * shutdown_ms
+    return max(
+        completion_ms(shutdown_ms), min(least_ms, shutdown_ms - MIN_END_MS)
+    )
+
+
 def can_accept_call(
     since_signal_ms: float,
     max_call_ms: float,
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -13,7 +13,11 @@
 from amaranthrail.direct.shutdown import GracefulShutdown
 from amaranthrail.direct.sync import StoreStatus
 from amaranthrail.metrics import Metrics
-from amaranthrail.policy.shutdown import StreamLength, longest_stream_ms
+from amaranthrail.policy.shutdown import (
+    MIN_END_MS,
+    StreamLength,
+    longest_stream_ms,
+)
 from amaranthrail.signals import StopTimes
 from amaranthrail.types import Millis, ServiceName
 
@@ -158,3 +162,19 @@
     length: StreamLength, step_ms: float, longest_ms: float | None
 ) -> None:
     assert longest_stream_ms(length, step_ms) == longest_ms
+
+
+@pytest.mark.parametrize('uncertainty_ms', [0, 100, 500, 900, 1000])
+def test_no_call_is_cut_off_before_the_share_that_the_users_bound(
+    uncertainty_ms: float,
+) -> None:
+    """Guards against streams that are cut off too early after the signal.
+
+    The process was held up before the signal was sent, and counted the time
+    from the earliest moment at which it may have been sent.
+    """
+    entry = StoppedEntry(uncertainty_ms)
+    sent_latest_ms = uncertainty_ms
+    assert entry.cut_after_ms - sent_latest_ms >= GRACE_MS * 5 / 6
+    # A process whose signal was sent earliest is not killed before the cut.
+    assert entry.cut_after_ms <= GRACE_MS - MIN_END_MS
