Count only calls in progress as cut off by a shutdown

A call whose retry a shutdown refuses was counted as cut off too, as its refusal has the same reason, so the summary named calls cut off where none were.

Without the change, test_a_call_that_is_not_sent_again_is_not_counted_as_cut_off: assert (0, 1) == (1, 0) # refused, cut

--- a/src/amaranthrail/direct/calllog.py
+++ b/src/amaranthrail/direct/calllog.py
@@ -82,7 +82,10 @@
                 reason=outcome.reason.value,
                 outcome=outcome.outcome.value,
             )
-            is_cut = outcome.reason is Reason.DRAINING
+            is_cut = (
+                self._shutdown_log.is_cutting
+                and outcome.reason is Reason.DRAINING
+            )
             end = CallEnd.CUT if is_cut else CallEnd.REFUSED
             self._shutdown_log.record_end(end)
             self._log_refusal(call, outcome, events)
--- a/src/amaranthrail/direct/shutdown.py
+++ b/src/amaranthrail/direct/shutdown.py
@@ -48,7 +48,6 @@
         self._shutdown_ms = Millis(0)
         self._deadline = Millis(0)
         self._running: set[trio.CancelScope] = set()
-        self._is_cutting = False
         self._began_at: Millis | None = None
 
     @property
@@ -104,13 +103,13 @@
 
     def cut_calls(self) -> None:
         """Cut off all calls in progress; their callers are still answered."""
-        self._is_cutting = True
+        self._log.begin_cut()
         for scope in self._running:
             scope.cancel()
 
     def refuse_cut(self, call: Call) -> Refusal | None:
         """Return the refusal of a call that has been cut off, else None."""
-        if not self._is_cutting or self._clock.now() >= call.deadline:
+        if not self._log.is_cutting or self._clock.now() >= call.deadline:
             return None
         detail = 'cut off at the deadline of the shutdown'
         if call.may_have_run:
--- a/src/amaranthrail/direct/shutdownlog.py
+++ b/src/amaranthrail/direct/shutdownlog.py
@@ -40,6 +40,7 @@
         self._metrics = metrics
         self._times: StopTimes | None = None
         self._has_ended = False
+        self._is_cutting = False
         self._ends: Counter[CallEnd] = Counter()
         self._accepted = 0
         self._last_accepted_ms: int | None = None
@@ -49,6 +50,15 @@
         """Tell whether calls that are still in progress are broken off."""
         return self._has_ended
 
+    @property
+    def is_cutting(self) -> bool:
+        """Tell whether calls in progress have been cut off."""
+        return self._is_cutting
+
+    def begin_cut(self) -> None:
+        """Record that calls in progress are cut off from now on."""
+        self._is_cutting = True
+
     def record_stop(self, times: StopTimes) -> None:
         """Count calls from now on; may be called in a signal handler."""
         self._times = times
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -2,17 +2,23 @@
 
 from __future__ import annotations
 
+from collections.abc import MutableMapping
+from typing import Any
+
 import pytest
+from structlog.testing import capture_logs
 
 from amaranthrail.adapters.httpserver import HttpRequest
 from amaranthrail.clock import Clock
-from amaranthrail.direct.call import Call
+from amaranthrail.direct.call import Call, StreamTiming
+from amaranthrail.direct.calllog import CallLog
 from amaranthrail.direct.deployment import CallKind, Route, ServiceShare
 from amaranthrail.direct.members import Members
 from amaranthrail.direct.ports import RequestMetadata
 from amaranthrail.direct.shutdown import GracefulShutdown
 from amaranthrail.direct.sync import StoreStatus
 from amaranthrail.metrics import Metrics
+from amaranthrail.outcomes import Reason, unknown_outcome
 from amaranthrail.policy.shutdown import (
     MIN_END_MS,
     StreamLength,
@@ -76,6 +82,16 @@
         call = self._call(CallKind.STREAMING)
         return self.shutdown.refuse_retry(call) is None
 
+    def log_refusals(self, count: int) -> list[MutableMapping[str, Any]]:
+        """Refuse calls as the shutdown does; return their log lines."""
+        log = CallLog(self._clock, self.metrics, self.shutdown.log)
+        refusal = unknown_outcome(Reason.DRAINING, 'as the shutdown does')
+        with capture_logs() as lines:
+            for _ in range(count):
+                call = self._call(CallKind.STREAMING)
+                log.record_end(call, refusal, 0, StreamTiming(call.arrived_at))
+        return lines
+
     def _call(self, kind: CallKind) -> Call:
         now = self._clock.now()
         service = ServiceName('engine')
@@ -178,3 +194,13 @@
     assert entry.cut_after_ms - sent_latest_ms >= GRACE_MS * 5 / 6
     # A process whose signal was sent earliest is not killed before the cut.
     assert entry.cut_after_ms <= GRACE_MS - MIN_END_MS
+
+
+def test_a_call_that_is_not_sent_again_is_not_counted_as_cut_off() -> None:
+    """Guards against a summary that names calls cut off where none were."""
+    entry = StoppedEntry()
+    entry.log_refusals(1)
+    with capture_logs() as lines:
+        entry.shutdown.end(0)
+    (summary,) = lines
+    assert (summary['refused'], summary['cut']) == (1, 0)
