Log every call that a shutdown cuts off

Calls are cut off at one moment, and the lines on refusals are limited to 200 a second. Beyond that, a call that was cut off had no line.

Without the change, test_each_call_that_a_shutdown_cuts_off_has_a_log_line: assert 200 == 300

--- a/src/amaranthrail/direct/calllog.py
+++ b/src/amaranthrail/direct/calllog.py
@@ -88,7 +88,9 @@
             )
             end = CallEnd.CUT if is_cut else CallEnd.REFUSED
             self._shutdown_log.record_end(end)
-            self._log_refusal(call, outcome, events)
+            # At most one line for each call in progress, so not rate limited.
+            if is_cut or self._may_log_problem():
+                self._log_refusal(call, outcome, events)
             return
         self._shutdown_log.record_end(CallEnd.ANSWERED)
         status = _HTTP_OK if outcome is None else outcome.status
@@ -248,10 +250,9 @@
         )
 
     def _log_refusal(self, call: Call, refusal: Refusal, events: int) -> None:
-        self._log_problem(
-            _log.warning,
+        _log.warning(
             'stream aborted' if events else 'refused',
-            call,
+            **self._fields(call),
             outcome=refusal.outcome.value,
             reason=refusal.reason.value,
             cause=refusal.detail,
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -11,7 +11,7 @@
 from amaranthrail.adapters.httpserver import HttpRequest
 from amaranthrail.clock import Clock
 from amaranthrail.direct.call import Call, StreamTiming
-from amaranthrail.direct.calllog import CallLog
+from amaranthrail.direct.calllog import MAX_PROBLEMS_PER_SECOND, CallLog
 from amaranthrail.direct.deployment import CallKind, Route, ServiceShare
 from amaranthrail.direct.members import Members
 from amaranthrail.direct.ports import RequestMetadata
@@ -196,6 +196,19 @@
     assert entry.cut_after_ms <= GRACE_MS - MIN_END_MS
 
 
+def test_each_call_that_a_shutdown_cuts_off_has_a_log_line() -> None:
+    """Guards against calls that are missing in the log of a shutdown.
+
+    All calls are cut off at one moment, and the lines on refusals are bounded.
+    """
+    entry = StoppedEntry()
+    entry.shutdown.cut_calls()
+    count = MAX_PROBLEMS_PER_SECOND + 100
+    lines = entry.log_refusals(count)
+    assert len(lines) == count
+    assert all('since_signal_ms' in line for line in lines)
+
+
 def test_a_call_that_is_not_sent_again_is_not_counted_as_cut_off() -> None:
     """Guards against a summary that names calls cut off where none were."""
     entry = StoppedEntry()
