Log responses that are not sent whole

A call is logged with its outcome before its response is sent. Where the caller does not read and the process ends, or the caller leaves, the log only said that the call was answered.

Without the change, test_a_response_that_its_caller_has_not_got_is_in_the_log: assert ['answered'] == ['answered', 'response not sent whole']

--- a/src/amaranthrail/direct/calllog.py
+++ b/src/amaranthrail/direct/calllog.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 import xxhash
 
@@ -222,6 +223,30 @@
             took_ms=int(self._clock.now() - call.arrived_at),
         )
 
+    @contextmanager
+    def watch_response(self, call: Call) -> Iterator[None]:
+        """Record a response that the block leaves before it is sent whole.
+
+        Its call has been recorded with its outcome before.
+        """
+        is_sent = False
+        try:
+            yield
+            is_sent = True
+        finally:
+            if not is_sent:
+                self._record_unsent(call)
+
+    def _record_unsent(self, call: Call) -> None:
+        self._metrics.count('responses_unsent')
+        self._log_problem(
+            _log.warning,
+            'response not sent whole',
+            call,
+            is_process_end=self._shutdown_log.has_ended,
+            took_ms=int(self._clock.now() - call.arrived_at),
+        )
+
     def _count_reservations(self, call: Call) -> None:
         """Count what became of reservations; a call is admitted or not."""
         if call.reservation is not None and call.reservation.is_reserved:
--- a/src/amaranthrail/direct/forward.py
+++ b/src/amaranthrail/direct/forward.py
@@ -142,6 +142,14 @@
         self._call_log.record_end(call, outcome, relay.events, relay.timing)
         if outcome is None:
             self._record_stream(call)
+        with self._call_log.watch_response(call):
+            await self._respond(outcome, reply)
+
+    async def _respond(
+        self,
+        outcome: BufferedResponse | Refusal | None,
+        reply: ResponseWriter,
+    ) -> None:
         if isinstance(outcome, BufferedResponse):
             await reply.send(outcome.status, outcome.headers, outcome.body)
         elif isinstance(outcome, Refusal) and not reply.started:
