Bound the wait for half-sent requests when a server ends

An entry ends once its last connection is closed. A caller that had sent a part of a request's body kept an entry with sidecars, which has no deadline then, for up to 20 s, and a direct entry until 0.98 of the grace period.

Without the change, test_an_entry_does_not_wait_for_a_request_that_it_refuses: assert entry.child.wait(5) == 0 AssertionError: assert None == 0

--- a/src/amaranthrail/adapters/httpserver.py
+++ b/src/amaranthrail/adapters/httpserver.py
@@ -190,6 +190,7 @@
         self._active = 0
         self._reused_scopes: set[trio.CancelScope] = set()
         self._new_scopes: set[trio.CancelScope] = set()
+        self._reading_scopes: set[trio.CancelScope] = set()
 
     @property
     def limits(self) -> ServerLimits:
@@ -235,12 +236,15 @@
     def end(self) -> None:
         """Close all connections without a request after LAST_READ_MS.
 
-        A request that arrives on one until then is served.
+        A request that arrives on one until then is served, and one that is
+        being sent for LINGER_MS: its caller would keep the process from ending.
         """
         self.close()
         self._ending.set()
         for scope in self._new_scopes:
             scope.cancel()
+        for scope in self._reading_scopes:
+            _bound_reading(scope)
 
     @contextmanager
     def idle_timeout(self, *, reused: bool) -> Iterator[None]:
@@ -261,6 +265,21 @@
             finally:
                 scopes.discard(scope)
 
+    @contextmanager
+    def read_timeout(self, timeout_ms: float) -> Iterator[None]:
+        """Leave the block, which reads the rest of a request, after a time.
+
+        It is left LINGER_MS after the server ends if that is earlier.
+        """
+        with move_on_after(timeout_ms) as scope:
+            self._reading_scopes.add(scope)
+            if self._ending.is_set():
+                _bound_reading(scope)
+            try:
+                yield
+            finally:
+                self._reading_scopes.discard(scope)
+
     async def wait_until_closing(self) -> None:
         """Wait until ``close`` is called; an announced close does not count."""
         await self._closed.wait()
@@ -321,9 +340,11 @@
             return _HTTP_TOO_LARGE
         if not share.resize(length):
             return _HTTP_UNAVAILABLE
-        with move_on_after(limits.body_timeout_ms):
-            return await self._read_body(head, share)
-        return _HTTP_TIMEOUT
+        request: HttpRequest | int = _HTTP_TIMEOUT
+        with self._state.read_timeout(limits.body_timeout_ms):
+            request = await self._read_body(head, share)
+        # The block may be left before the assignment.
+        return request  # noqa: RET504
 
     async def watch_disconnect(
         self, scope: trio.CancelScope, response: ResponseWriter
@@ -378,7 +399,7 @@
                 event = await self.next_event()
         timeout_ms = self._state.limits.header_timeout_ms
         if event is h11.NEED_DATA and timeout_ms is not None:
-            with move_on_after(timeout_ms):
+            with self._state.read_timeout(timeout_ms):
                 event = await self.next_event()
         if event is h11.NEED_DATA:
             return _HTTP_TIMEOUT
@@ -441,6 +462,11 @@
         )
 
 
+def _bound_reading(scope: trio.CancelScope) -> None:
+    latest = trio.current_time() + LINGER_MS / 1000
+    scope.deadline = min(scope.deadline, latest)
+
+
 def _stated_length(head: h11.Request) -> int:
     """Return the length of the body that the head states, 0 for none."""
     for name, text in head.headers:
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -167,3 +167,18 @@
     later = [_request_draft(small_fleet, number) for number in range(6)]
     assert [response.status for response in later] == [200 for _ in later]
     assert _count_runs(upstream) == 0
+
+
+def test_an_entry_does_not_wait_for_a_request_that_it_refuses(
+    small_fleet: Fleet,
+) -> None:
+    """Guards against a half-sent request that delays the end of an entry."""
+    entry = small_fleet.entries[0]
+    host, _, port = entry.url.removeprefix('http://').partition(':')
+    with socket.create_connection((host, int(port))) as caller:
+        caller.sendall(
+            b'POST /x HTTP/1.1\r\nhost: entry\r\ncontent-length: 100\r\n\r\nx'
+        )
+        time.sleep(0.3)
+        entry.child.send(signal.SIGTERM)
+        assert entry.child.wait(5) == 0
