Kill a soaked entry at the end of its grace period

The wait for an entry's exit ran in a thread that could not be cancelled, so the time limit around it never took effect: a process that needed longer than 8 s was not killed and could finish calls that the users' platform would cut off.

--- a/standins/platformfleet.py
+++ b/standins/platformfleet.py
@@ -165,7 +165,9 @@
         """Wait until the process has exited; return its exit code."""
         if self._process is None:
             return 0
-        return await trio.to_thread.run_sync(self._process.wait)
+        return await trio.to_thread.run_sync(
+            self._process.wait, abandon_on_cancel=True
+        )
 
     async def until_ready(self) -> None:
         """Wait until the readiness probe gets 200. Raises trio.TooSlowError."""
