Restart entries in series under load in the soak

The soak sent one SIGTERM at a time, to entries whose callers had a deadline of 3 s and streams of six events, so no call was near the end of a grace period and hardly one met the end of a process. A series now restarts all entries or all but one, some at once, some with a signal that is handled up to 0.8 s late, with SIGHUP before, beside and after it and changes of the configuration. Callers use each entry until its process has ended: on kept and unused connections, with plain calls after pauses as long as the last checks before an early end, and with streams that end late or outlast the grace period.

A violation is printed with the log lines of its call.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,6 +5,7 @@
 import random
 import sys
 import time
+from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
@@ -17,7 +18,7 @@
 from .callers import Caller
 from .observations import Observations
 from .promises import find_violations
-from .schedule import schedule_faults
+from .schedule import ScheduledFault, schedule_faults, schedule_restarts
 from .testbed import Testbed
 
 #: Seeds that have failed once, with the cause; they run first.
@@ -27,6 +28,7 @@
 RECOVERY_S = 6.0
 RECOVERY_CHECK_S = 2.0
 MAX_SEED = 1_000_000
+_RESTARTS_OPTION = '--restarts-only'
 _app = typer.Typer()
 
 
@@ -38,6 +40,12 @@
     entries: int = 3
     replicas: int = 6
     callers: int = 8
+    restarts_only: bool = False
+
+    def faults(self, seed: int) -> tuple[ScheduledFault, ...]:
+        """Return the faults of a seed."""
+        schedule = schedule_restarts if self.restarts_only else schedule_faults
+        return schedule(seed, self.seconds)
 
 
 async def soak_once(seed: int, size: RunSize) -> Observations:
@@ -51,7 +59,7 @@
         ]
         for caller in callers:
             caller.start()
-        await testbed.inject_faults(schedule_faults(seed, size.seconds))
+        await testbed.inject_faults(size.faults(seed))
         await testbed.wait_ready()
         await trio.sleep(RECOVERY_S)
         testbed.observations.recovered_from = time.time()
@@ -82,11 +90,16 @@
     entries: Annotated[int, typer.Option(help='Entry processes.')] = 3,
     replicas: Annotated[int, typer.Option(help='Replicas.')] = 6,
     callers: Annotated[int, typer.Option(help='Concurrent callers.')] = 8,
+    *,
+    restarts_only: Annotated[
+        bool, typer.Option(help='Only restarts, reloads and configurations.')
+    ] = False,
 ) -> None:
     """Run failed and new seeds; exit with 1 if a guarantee was violated."""
-    size = RunSize(seconds, entries, replicas, callers)
+    size = RunSize(seconds, entries, replicas, callers, restarts_only)
     start = first or random.SystemRandom().randrange(1, MAX_SEED)
-    selected = [*failed_seeds(), *range(start, start + seeds)]
+    kept_seeds = failed_seeds(restarts_only=restarts_only)
+    selected = [*kept_seeds, *range(start, start + seeds)]
     failed_count = 0
     for seed in selected:
         observations = trio.run(soak_once, seed, size)
@@ -97,9 +110,13 @@
     sys.exit(bool(failed_count))
 
 
-def failed_seeds() -> list[int]:
-    """Read the seeds that are kept as regression cases."""
-    lines = FAILED_SEEDS.read_text().splitlines()
+def failed_seeds(*, restarts_only: bool = False) -> list[int]:
+    """Read the seeds that are kept as regression cases of a kind of run."""
+    lines = [
+        line
+        for line in FAILED_SEEDS.read_text().splitlines()
+        if (_RESTARTS_OPTION in line) is restarts_only
+    ]
     first_words = (line.partition(' ')[0] for line in lines)
     return [int(seed) for seed in first_words if seed.isdecimal()]
 
@@ -107,7 +124,7 @@
 def _print_result(seed: int, size: RunSize, observations: Observations) -> bool:
     """Print the result of a seed; return whether a guarantee was violated."""
     violations = find_violations(observations)
-    faults = schedule_faults(seed, size.seconds)
+    faults = size.faults(seed)
     call_count = len(observations.calls)
     served = sum(call.complete for call in observations.calls)
     sys.stdout.write(
@@ -115,11 +132,23 @@
         f'{served} answered, {len(violations)} promises broken\n',
     )
     details = [*violations, *map(str, faults)] if violations else []
-    for line in details:
+    for line in (*details, *_log_lines(violations, observations)):
         sys.stdout.write(f'  {line}\n')
     sys.stdout.flush()
     return bool(violations)
 
 
+def _log_lines(
+    violations: list[str], observations: Observations
+) -> Iterator[str]:
+    """Yield what entries logged on violating calls and on their shutdowns."""
+    attempts = [f'"{violation.partition(" ")[0]}"' for violation in violations]
+    marks = ('leaving', 'cut off', *attempts) if attempts else ()
+    for host, log in observations.logs.items():
+        for line in log.splitlines():
+            if any(mark in line for mark in marks):
+                yield f'{host}: {line}'
+
+
 if __name__ == '__main__':
     _app()
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -92,9 +92,15 @@
             connection.close()
 
 
-def open_later(host: str) -> client.HTTPConnection:
-    """Return a connection to an entry that is opened when it is used."""
-    return client.HTTPConnection(host, PORT, timeout=SOCKET_TIMEOUT_S)
+def open_later(
+    host: str, timeout_s: float = SOCKET_TIMEOUT_S
+) -> client.HTTPConnection:
+    """Return a connection to an entry that is opened when it is used.
+
+    The timeout must be longer than the deadline of any call on it: a call that
+    the caller gives up before that would count as lost.
+    """
+    return client.HTTPConnection(host, PORT, timeout=timeout_s)
 
 
 def make_call(
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -320,7 +320,11 @@
         since = call.started_at - FAULT_FREE_S
         subjects = (call.host, replica, ALL_PROCESSES)
         if not is_disturbed(observations, since, call.ended_at, subjects):
-            yield f'{call.attempt} was cut off as {call.host} shut down'
+            took_s = call.ended_at - call.started_at
+            yield (
+                f'{call.attempt} was cut off as {call.host} shut down, '
+                f'{took_s:.3f} s after it began; replica {replica}'
+            )
 
 
 def _overlaps_shutdown(observations: Observations, call: CallRecord) -> bool:
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, replace
 from enum import Enum
 
+from .shutdowncallers import LEAD_S
+
 #: Mean number of faults that start in a second; most last longer, so they
 #: overlap.
 FAULTS_PER_S = 0.9
@@ -33,6 +35,14 @@
 MIN_COLD_S = 4.0
 #: Groups of callers that read slowly and start in a second, in the same runs.
 SLOW_READERS_PER_S = 1 / 12
+#: Series of restarts that start in a second, in the same runs.
+RESTARTS_PER_S = 1 / 12
+#: Longest pause between two SIGTERM of a series, longest time for which a
+#: process is stopped as it gets one, and the time in which the other operations
+#: of a series follow the start of an entry's callers, in seconds.
+_MAX_RESTART_GAP_S = 2.0
+_MAX_SIGNAL_LAG_S = 0.8
+_SERIES_MARGIN_S = 8.0
 
 
 class Fault(Enum):
@@ -77,6 +87,7 @@
     STORE_REWOUND = 'store-rewound'
     REPLICA_COLD = 'replica-cold'
     CALLERS_SLOW = 'callers-slow'
+    ENTRIES_RESTARTED = 'entries-restarted'
 
 
 #: Faults that are drawn from a generator of their own, so that a seed keeps the
@@ -106,6 +117,53 @@
         return self.starts_s + self.duration_s
 
 
+def schedule_restarts(seed: int, seconds: float) -> tuple[ScheduledFault, ...]:
+    """Return the series of restarts of a run, sorted by start time."""
+    restarts = _draw_faults(
+        random.Random(f'restarts {seed}'),
+        [Fault.ENTRIES_RESTARTED],
+        seconds,
+        RESTARTS_PER_S,
+    )
+    return tuple(sorted(restarts, key=lambda scheduled: scheduled.starts_s))
+
+
+def restart_steps(target: int, entries: int) -> tuple[ScheduledFault, ...]:
+    """Return the steps of a series of restarts, sorted by start time.
+
+    It concerns all entries or all but one. The duration of an ENTRY_SHUT_DOWN
+    is the time for which the process is stopped as it gets SIGTERM; its target
+    is the entry, plus ``entries`` where calls go on to the end of the grace
+    period.
+    """
+    generator = random.Random(f'series {target}')
+    count = max(1, entries - generator.randrange(2))
+    steps: list[ScheduledFault] = []
+    at_s = 0.0
+    for entry in generator.sample(range(entries), count):
+        at_s += generator.choice((0, generator.uniform(0, _MAX_RESTART_GAP_S)))
+        lag_s = generator.choice((0, generator.uniform(0, _MAX_SIGNAL_LAG_S)))
+        restart = entry + entries * generator.randrange(2)
+        steps.append(
+            ScheduledFault(at_s, lag_s, Fault.ENTRY_SHUT_DOWN, restart)
+        )
+        offsets_s = (0, LEAD_S, generator.uniform(0, _SERIES_MARGIN_S))
+        steps.extend(
+            ScheduledFault(at_s + offset_s, 0, Fault.ENTRY_RELOADED, entry)
+            for offset_s in generator.sample(offsets_s, generator.randrange(3))
+        )
+    steps.extend(
+        ScheduledFault(
+            generator.uniform(0, at_s + _SERIES_MARGIN_S),
+            0,
+            Fault.CONFIGURATION_CHANGED,
+            target,
+        )
+        for _ in range(2)
+    )
+    return tuple(sorted(steps, key=lambda step: step.starts_s))
+
+
 def schedule_faults(seed: int, seconds: float) -> tuple[ScheduledFault, ...]:
     """Return the faults of a run of ``seconds``, sorted by start time."""
     later_faults = {
@@ -114,6 +172,7 @@
         Fault.STORE_REWOUND,
         Fault.REPLICA_COLD,
         Fault.CALLERS_SLOW,
+        Fault.ENTRIES_RESTARTED,
     }
     earlier_faults = [fault for fault in Fault if fault not in later_faults]
     faults = [
@@ -148,6 +207,7 @@
         faults.extend(
             _draw_faults(cold, [Fault.REPLICA_COLD], seconds, COLD_PER_S)
         )
+        faults.extend(schedule_restarts(seed, seconds))
     return tuple(sorted(faults, key=lambda scheduled: scheduled.starts_s))
 
 
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -7,7 +7,6 @@
 import sys
 import time
 from collections import defaultdict, deque
-from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
 from functools import partial
@@ -18,7 +17,6 @@
 from amaranthrail.adapters.httpclient import Address, parse_address
 from amaranthrail.adapters.httpserver import HttpRequest, ResponseWriter
 from amaranthrail.exceptions import HttpError
-from standins.calling import is_listening
 from standins.keyedlog import KeyedLog, StoreFault, TopicCopy
 from standins.platformfleet import (
     EntryProcess,
@@ -30,7 +28,6 @@
 from standins.replica import LARGE_STREAM_PATH, Behaviour, Replica
 
 from .callers import PORT
-from .losses import GRACE_S, RELOAD_S
 from .observations import (
     ALL_PROCESSES,
     FAULT_FREE_S,
@@ -40,6 +37,7 @@
     Observations,
 )
 from .promises import COLD_PER_S, DRAIN_GRACE_S, LIMIT_PER_S
+from .restarts import EffectCheck, Restarts
 from .schedule import (
     LIMITED_S,
     MIN_COLD_S,
@@ -106,6 +104,7 @@
         Fault.CALLERS_SLOW,
         Fault.CONFIGURATION_CHANGED,
         Fault.DOMAIN_EVACUATED,
+        Fault.ENTRIES_RESTARTED,
     ),
 )
 _STORE_FAULTS = MappingProxyType(
@@ -132,9 +131,6 @@
 )
 
 
-EffectCheck = Callable[[], bool]
-
-
 @dataclass
 class ReplicaHost:
     """Hold the current replica at an address, with what stays the same."""
@@ -163,6 +159,7 @@
         self._copies: deque[dict[str, TopicCopy]] = deque(maxlen=_MAX_COPIES)
         self._locks: defaultdict[str, trio.Lock] = defaultdict(trio.Lock)
         self.observations = Observations()
+        self._restarts = Restarts(fleet, self.observations, self._locks)
 
     @property
     def entries(self) -> list[EntryProcess]:
@@ -183,7 +180,9 @@
             await entry.until_ready()
 
     def close(self) -> None:
-        """Close all relays."""
+        """Keep the logs and close all relays."""
+        for entry in self.entries:
+            self.observations.logs[entry.host] = entry.log_text()
         self._store_relay.close()
         for host in self._hosts:
             host.relay.close()
@@ -329,15 +328,15 @@
             entry.send_signal(signal.SIGCONT)
             return lambda: True
         if scheduled.fault is Fault.ENTRY_RELOADED:
-            entry.change_settings(f'{self._fleet.settings(entry)}#\n')
-            entry.send_signal(signal.SIGHUP)
-            self.observations.reloads.append(
-                Interval(time.time(), time.time() + RELOAD_S, entry.host)
-            )
+            self._restarts.reload(entry)
             return lambda: True
+        if scheduled.fault is Fault.ENTRIES_RESTARTED:
+            return await self._restarts.run_series(
+                scheduled, self._write_next_configuration
+            )
         if scheduled.fault is Fault.ENTRY_KILLED:
             return await self._kill_entry(entry)
-        return await self._shut_down_entry(entry)
+        return await self._restarts.shut_down(entry)
 
     async def _kill_entry(self, entry: EntryProcess) -> EffectCheck:
         async with self._locks[entry.host]:
@@ -358,32 +357,6 @@
                 nursery.start_soon(kill, entry)
         return lambda: all(check() for check in effect_checks)
 
-    async def _shut_down_entry(self, entry: EntryProcess) -> EffectCheck:
-        async with self._locks[entry.host]:
-            started_at = time.time()
-            was_listening = await trio.to_thread.run_sync(
-                is_listening, entry.address
-            )
-            entry.send_signal(signal.SIGTERM)
-            sigterm_at = time.time()
-            with trio.move_on_after(GRACE_S):
-                await entry.wait()
-            entry.send_signal(signal.SIGKILL)
-            exit_code = await entry.wait()
-            ended_at = time.time()
-            self.observations.shutdowns.append(
-                Interval(started_at, ended_at, entry.host)
-            )
-            self.observations.sigterms.append(
-                Interval(sigterm_at, ended_at, entry.host)
-            )
-            entry.start(self._fleet.settings(entry))
-        # SIGTERM ends a process that does not listen yet.
-        expected_codes = (
-            {0, -signal.SIGKILL} if was_listening else {0, -signal.SIGTERM}
-        )
-        return lambda: exit_code in expected_codes
-
     async def _inject_store_fault(
         self, scheduled: ScheduledFault
     ) -> EffectCheck:
@@ -518,9 +491,12 @@
         self._write_record(host)
 
     def _change_configuration(self) -> EffectCheck:
+        self._write_next_configuration()
+        return lambda: True
+
+    def _write_next_configuration(self) -> None:
         self._version += 1
         self._write_configuration()
-        return lambda: True
 
     def _write_configuration(self) -> None:
         text = make_configuration(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,7 +9,7 @@
 
 from soak.__main__ import RunSize, soak_once
 from soak.callers import CALL_DEADLINE_S, CallKind, CallRecord, expected_body
-from soak.losses import lost_calls
+from soak.losses import GRACE_S, lost_calls
 from soak.observations import (
     ALL_PROCESSES,
     Execution,
@@ -17,10 +17,13 @@
     Observations,
 )
 from soak.promises import find_violations
-from soak.schedule import Fault, schedule_faults
+from soak.schedule import Fault, restart_steps, schedule_faults
 
 #: A seed whose faults hit entries, the store, replicas and network paths.
 SEED = 1
+#: A seed whose series restarts all entries, two of them with a signal that is
+#: handled late, some while streams last and some as they end early.
+RESTARTS_SEED = 10
 
 
 def call_record(
@@ -370,6 +373,7 @@
         Fault.STORE_REWOUND,
         Fault.REPLICA_COLD,
         Fault.CALLERS_SLOW,
+        Fault.ENTRIES_RESTARTED,
     }
     faults = [
         scheduled.fault.value
@@ -425,6 +429,25 @@
     assert 'newest' in violations(call_record(), outdated_entries=['h1'])
 
 
+def test_series_of_restarts_overlap_and_have_all_kinds_of_steps() -> None:
+    # Guards against series that could not meet a call lost at a shutdown.
+    series = [restart_steps(target, 3) for target in range(50)]
+    kinds = {step.fault for steps in series for step in steps}
+    assert kinds == {
+        Fault.ENTRY_SHUT_DOWN,
+        Fault.ENTRY_RELOADED,
+        Fault.CONFIGURATION_CHANGED,
+    }
+    for steps in series:
+        signals = [
+            step for step in steps if step.fault is Fault.ENTRY_SHUT_DOWN
+        ]
+        assert len({step.target % 3 for step in signals}) >= 2
+        assert signals[-1].starts_s - signals[0].starts_s < GRACE_S
+    lags = [step.duration_s for steps in series for step in steps]
+    assert any(lags)
+
+
 def test_every_fault_is_scheduled_for_some_seed() -> None:
     drawn = {
         scheduled.fault
@@ -438,3 +461,13 @@
     observations = trio.run(soak_once, SEED, RunSize(4, 2, 4, 4))
     assert observations.calls
     assert not find_violations(observations)
+
+
+def test_a_short_series_of_restarts_loses_no_calls() -> None:
+    # Guards against calls that an entry accepts after SIGTERM and gives up.
+    size = RunSize(4, 3, 6, 3, restarts_only=True)
+    observations = trio.run(soak_once, RESTARTS_SEED, size)
+    assert len(observations.sigterms) == size.entries
+    assert any(call.kind is CallKind.LONG for call in observations.calls)
+    found = find_violations(observations)
+    assert not found, '\n'.join(found)
