Estimate the length of a stream only by recent step times

Where no stream of a service had run in the last two seconds, an entry that shuts down took the longest pause that a route permits for the step time. Several times too long, this refused streams that end in time (review, by reading; computed: 200 tokens at 5 a step and a target gap of 300 ms gave 15 s, 2 s at steps of 40 ms). Without a recent step time the stream is now accepted in the first seconds.

--- a/src/amaranthrail/direct/durations.py
+++ b/src/amaranthrail/direct/durations.py
@@ -34,7 +34,7 @@
         )
 
     def _step_ms(self, call: Call) -> float | None:
-        """Return the longest recent step time, or the target where none is."""
+        """Return the longest recent step time, None where no stream runs."""
         directory = self._cluster.directory
         ready = directory.ready_upstreams(
             call.service, frozenset(), call.allowed_regions
@@ -45,4 +45,4 @@
             for group in groups
         ]
         known = [step_ms for step_ms in recent if step_ms is not None]
-        return max(known, default=call.route.target_gap_ms)
+        return max(known, default=None)
