--- a/src/amaranthrail/direct/shutdown.py
+++ b/src/amaranthrail/direct/shutdown.py
@@ -35,7 +35,7 @@
         metrics: Metrics,
         longest_stream_ms: Callable[[Call], float | None],
     ) -> None:
-        """Accept every call until begin() is called.
+        """Accept every call until record_stop() is called.
 
         ``longest_stream_ms`` returns the time that a call's stream is unlikely
         to exceed, None where that is unknown.
