Let a kill come first where a process cannot tell when it was stopped

The process had been held up for 1.8 s before its signal handler ran, so the signal may have been sent at any time in between. The deadline was kept 250 ms before the earliest possible kill, 1.7 s too early.

Where the two bounds cannot both hold, calls are now cut off no earlier than 0.84 of the grace period after the latest moment at which the signal may have been sent. If the kill comes first, it meets only calls that the users excuse: calls are accepted by the earliest moment. Responses are still sent for 0.04 of the grace period after the cut, where they were given until 0.98 of it.

--- a/src/amaranthrail/direct/shutdown.py
+++ b/src/amaranthrail/direct/shutdown.py
@@ -11,7 +11,7 @@
 from ..metrics import Metrics
 from ..outcomes import Reason, Refusal, not_run, unknown_outcome
 from ..policy.shutdown import (
-    SEND_COMPLETION_SHARE,
+    SEND_SHARE,
     can_accept_call,
     can_exit,
     can_finish,
@@ -88,8 +88,7 @@
     @property
     def send_deadline(self) -> float:
         """Return the clock time by which the last response must be sent."""
-        began_at = self._began_at or 0
-        return began_at + SEND_COMPLETION_SHARE * self._shutdown_ms
+        return self._deadline + SEND_SHARE * self._shutdown_ms
 
     @contextmanager
     def bound_call(self, remaining_ms: float) -> Iterator[None]:
--- a/src/amaranthrail/policy/shutdown.py
+++ b/src/amaranthrail/policy/shutdown.py
@@ -26,10 +26,10 @@
 #: still get a refusal. Short grace periods have more calls cut off for it, but
 #: none before this fraction of the time, as the users bound it.
 MIN_END_MS = 250.0
-MIN_COMPLETION_SHARE = 0.85
-#: Fraction of the time from the stop signal to the kill by which responses that
-#: are still being sent are given up.
-SEND_COMPLETION_SHARE = 0.98
+MIN_COMPLETION_SHARE = 0.84
+#: Fraction of the time from the stop signal to the kill for which responses
+#: are still sent after calls have been cut off.
+SEND_SHARE = 0.04
 #: Multiple of a caller's estimate of its output that a stream is unlikely to
 #: exceed; half of all streams are longer than estimated.
 ESTIMATE_MARGIN = 2.0
@@ -92,12 +92,10 @@
     The signal was sent up to ``uncertainty_ms`` later than the earliest moment.
     Streams may be cut off only in the last part of the time from the signal,
     so the cut is later than completion_ms() where the signal may have been sent
-    late, but MIN_END_MS before the earliest moment of the kill.
+    late. After an uncertainty of more than a second the kill may come first.
     """
     least_ms = uncertainty_ms + MIN_COMPLETION_SHARE * shutdown_ms
-    return max(
-        completion_ms(shutdown_ms), min(least_ms, shutdown_ms - MIN_END_MS)
-    )
+    return max(completion_ms(shutdown_ms), least_ms)
 
 
 def can_accept_call(
