Refuse streams in a shutdown by the time that they are expected to take

A stream is now refused only if its expected length, at the recent step time, ends after the cut, so that it is known to be cut off more likely than not.

--- a/src/amaranthrail/direct/durations.py
+++ b/src/amaranthrail/direct/durations.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ..policy.shutdown import StreamLength, longest_stream_ms
+from ..policy.shutdown import StreamLength, expected_stream_ms
 from .call import Call
 from .clusterstate import ClusterState
 
@@ -14,8 +14,8 @@
         """Use the services and upstreams that ``cluster`` knows."""
         self._cluster = cluster
 
-    def longest_ms(self, call: Call) -> float | None:
-        """Return the time that a call's stream is unlikely to exceed.
+    def expected_ms(self, call: Call) -> float | None:
+        """Return the time that a call's stream is expected to take.
 
         Return None where its length or the step time is unknown. A stream that
         resumes is taken for a whole one, as what is left of it is unknown.
@@ -24,7 +24,7 @@
         step_ms = self._step_ms(call)
         if service is None or service.engine is None or step_ms is None:
             return None
-        return longest_stream_ms(
+        return expected_stream_ms(
             StreamLength(
                 call.metadata.max_output_tokens,
                 call.metadata.expected_tokens,
--- a/src/amaranthrail/direct/service.py
+++ b/src/amaranthrail/direct/service.py
@@ -144,7 +144,7 @@
                     self._store_status,
                     self._members,
                     self._metrics,
-                    StreamDurations(self._cluster).longest_ms,
+                    StreamDurations(self._cluster).expected_ms,
                 ),
             ),
         )
--- a/src/amaranthrail/direct/shutdown.py
+++ b/src/amaranthrail/direct/shutdown.py
@@ -33,14 +33,14 @@
         store_status: StoreStatus,
         members: Members,
         metrics: Metrics,
-        longest_stream_ms: Callable[[Call], float | None],
+        expected_stream_ms: Callable[[Call], float | None],
     ) -> None:
         """Accept every call until record_stop() is called.
 
-        ``longest_stream_ms`` returns the time that a call's stream is unlikely
-        to exceed, None where that is unknown.
+        ``expected_stream_ms`` returns the time that a call's stream is expected
+        to take, None where that is unknown.
         """
-        self._longest_stream_ms = longest_stream_ms
+        self._expected_stream_ms = expected_stream_ms
         self._log = ShutdownLog(store_status.clock, metrics)
         self._store_status = store_status
         self._members = members
@@ -135,41 +135,41 @@
             return None
         since_signal_ms = call.arrived_at - self._began_at
         max_call_ms = call.deadline - call.arrived_at
-        longest_ms = self._longest_ms(call)
+        expected_ms = self._expected_ms(call)
         if can_accept_call(
             since_signal_ms,
             max_call_ms,
             self._shutdown_ms,
             streaming=call.route.streaming,
-            longest_ms=longest_ms,
+            expected_ms=expected_ms,
         ):
             self._log.record_accepted(call)
             return None
-        return _refuse(since_signal_ms, max_call_ms, longest_ms)
+        return _refuse(since_signal_ms, max_call_ms, expected_ms)
 
     def refuse_retry(self, call: Call) -> Refusal | None:
         """Return why a call that has not run is not sent again, if so."""
         if self._began_at is None:
             return None
         now = self._clock.now()
-        longest_ms = self._longest_ms(call)
+        expected_ms = self._expected_ms(call)
         since_signal_ms = now - self._began_at
-        if can_finish(since_signal_ms, self._shutdown_ms, longest_ms):
+        if can_finish(since_signal_ms, self._shutdown_ms, expected_ms):
             return None
-        return _refuse(since_signal_ms, call.deadline - now, longest_ms)
+        return _refuse(since_signal_ms, call.deadline - now, expected_ms)
 
-    def _longest_ms(self, call: Call) -> float | None:
-        return self._longest_stream_ms(call) if call.route.streaming else None
+    def _expected_ms(self, call: Call) -> float | None:
+        return self._expected_stream_ms(call) if call.route.streaming else None
 
 
 def _refuse(
-    since_signal_ms: float, max_call_ms: float, longest_ms: float | None
+    since_signal_ms: float, max_call_ms: float, expected_ms: float | None
 ) -> Refusal:
     """Refuse a call that other entries accept without delay."""
-    length = 'unknown' if longest_ms is None else f'{longest_ms:.0f} ms'
+    length = 'unknown' if expected_ms is None else f'{expected_ms:.0f} ms'
     return not_run(
         Reason.DRAINING,
         f'this entry leaves since {since_signal_ms:.0f} ms, the call may '
-        f'take {max_call_ms:.0f} ms, a stream probably {length} at most',
+        f'take {max_call_ms:.0f} ms, a stream is expected to take {length}',
         0,
     )
--- a/src/amaranthrail/policy/shutdown.py
+++ b/src/amaranthrail/policy/shutdown.py
@@ -10,8 +10,6 @@
 
 from __future__ import annotations
 
-import math
-
 import msgspec
 
 #: Time after the stop signal in which new streams are accepted, in ms. The
@@ -30,11 +28,6 @@
 #: Fraction of the time from the stop signal to the kill for which responses
 #: are still sent after calls have been cut off.
 SEND_SHARE = 0.04
-#: Multiple of a caller's estimate of its output that a stream is unlikely to
-#: exceed; half of all streams are longer than estimated.
-ESTIMATE_MARGIN = 2.0
-#: Factor for the wait for the first event, and for steps that become longer.
-DURATION_MARGIN = 1.25
 #: Time beyond its deadline within which a caller has its refusal, in ms, on a
 #: busy host too: an upstream's response at the deadline is waited for.
 REFUSAL_SLACK_MS = 250.0
@@ -62,17 +55,17 @@
     per_step: int
 
 
-def longest_stream_ms(length: StreamLength, step_ms: float) -> float | None:
-    """Return the time that a stream is unlikely to exceed, None if unknown.
+def expected_stream_ms(length: StreamLength, step_ms: float) -> float | None:
+    """Return the time that a stream is expected to take, None if unknown.
 
     ``step_ms`` is the recent time of an engine step.
     """
-    tokens = ESTIMATE_MARGIN * length.expected
+    tokens = length.expected or length.max_output
     if length.max_output:
-        tokens = min(tokens or math.inf, length.max_output)
+        tokens = min(tokens, length.max_output)
     if not tokens:
         return None
-    return DURATION_MARGIN * step_ms * tokens / length.per_step
+    return step_ms * tokens / length.per_step
 
 
 def completion_ms(shutdown_ms: float) -> float:
@@ -104,29 +97,29 @@
     shutdown_ms: float,
     *,
     streaming: bool,
-    longest_ms: float | None = None,
+    expected_ms: float | None = None,
 ) -> bool:
     """Tell whether a call can be answered before the process is killed.
 
     ``since_signal_ms`` is the time since the stop signal, ``max_call_ms`` the
     time to the call's deadline, and ``shutdown_ms`` the time from the signal to
-    the kill. A stream may be accepted although its deadline is later, if it is
-    unlikely to take longer than ``longest_ms``, which is None where unknown.
+    the kill. A stream may be accepted although its deadline is later, if the
+    time that it is expected to take, None where unknown, ends before.
     """
     ends_at_ms = since_signal_ms + max_call_ms + REFUSAL_SLACK_MS
     if ends_at_ms < completion_ms(shutdown_ms):
         return True
     if not streaming or since_signal_ms >= STREAM_ACCEPT_MS:
         return False
-    return can_finish(since_signal_ms, shutdown_ms, longest_ms)
+    return can_finish(since_signal_ms, shutdown_ms, expected_ms)
 
 
 def can_finish(
-    since_signal_ms: float, shutdown_ms: float, longest_ms: float | None
+    since_signal_ms: float, shutdown_ms: float, expected_ms: float | None
 ) -> bool:
     """Tell whether what begins now is likely to end before calls are cut off.
 
-    ``longest_ms`` is None where its duration is unknown.
+    ``expected_ms`` is None where its duration is unknown.
     """
-    ends_at_ms = since_signal_ms + (longest_ms or 0)
+    ends_at_ms = since_signal_ms + (expected_ms or 0)
     return ends_at_ms < completion_ms(shutdown_ms)
