--- a/review/7/case.py
+++ b/review/7/case.py
@@ -22,6 +22,8 @@
 CHUNK = b'5\r\nabcde\r\n'
 LOOKUPS_PER_S = 10
 LOOKUP_S = 14.0
+#: One stream for so many lookups.
+LOOKUPS_PER_STREAM = 3
 TROUBLE_AT_S = 3.0
 
 
@@ -118,8 +120,8 @@
             began = record.now()
             for number in range(int(LOOKUPS_PER_S * LOOKUP_S)):
                 clients.start_soon(look_up, number)
-                if number % LOOKUPS_PER_S == 0:
-                    clients.start_soon(stream, number // LOOKUPS_PER_S)
+                if number % LOOKUPS_PER_STREAM == 0:
+                    clients.start_soon(stream, number // LOOKUPS_PER_STREAM)
                 if trouble and bad.behave is None and (
                     record.now() - began >= TROUBLE_AT_S
                 ):
