--- a/review/bed2.py
+++ b/review/bed2.py
@@ -9,6 +9,7 @@
 
 import json
 import os
+import random
 import shlex
 import signal
 import socket
@@ -245,6 +246,10 @@
             'body': body,
             'attempt': headers.get('attempt-id', ''),
         }
+        if path == '/health':
+            extra = (f'Replica-Id: {self.name}',)
+            await self.answer(stream, request, 200, b'', extra, signed=False)
+            return
         if path.startswith('/amaranthrail/'):
             await self.answer(stream, request, 404, b'', signed=False)
             return
@@ -366,6 +371,41 @@
         )
 
 
+class Ingress:
+    """The platform's way in: probes entries and chooses one for a connection.
+
+    An entry is out of rotation after two misses, and back after a 200. If fewer
+    than half are in rotation, all are used.
+    """
+
+    def __init__(self, bed):
+        self._bed = bed
+        self._misses = {entry.number: 0 for entry in bed.entries}
+        self._random = random.Random(1)
+
+    async def run(self):
+        async with trio.open_nursery() as probes:
+            for entry in self._bed.entries:
+                probes.start_soon(self._probe, entry)
+
+    async def _probe(self, entry):
+        while True:
+            began = trio.current_time()
+            ready = await entry.probe() == 200
+            before = self._misses[entry.number]
+            self._misses[entry.number] = 0 if ready else before + 1
+            if not ready:
+                self._bed.record.write(f'probe of entry {entry.number} missed')
+            await trio.sleep(max(0, 1 - (trio.current_time() - began)))
+
+    def choose(self):
+        entries = self._bed.entries
+        used = [entry for entry in entries if self._misses[entry.number] < 2]
+        if len(used) < len(entries) / 2:
+            used = entries
+        return self._random.choice(used)
+
+
 class Bed:
     """The store, the replicas and the entries of one run."""
 
@@ -417,7 +457,7 @@
             'state': 'ready',
             'cold_remaining_ms': 0,
             'sequence': 0,
-            'born': int(time.time() * 1000),
+            'born': getattr(replica, 'born', int(time.time() * 1000)),
         }
         self.beat(replica.name)
 
