--- a/review/ranks2.py
+++ b/review/ranks2.py
@@ -9,6 +9,7 @@
 
 import json
 import random
+import time
 
 import trio
 
@@ -52,6 +53,10 @@
         self.experts = [
             tuple(range(number, EXPERTS, RANKS)) for _ in range(SETS)
         ]
+        self.born = int(time.time() * 1000)
+        # The whole map in use, and the one that is prepared, as they were sent.
+        self.content = 'map 0'
+        self.next_content = ''
         self.highest = 0
         self.next_experts = None
         self.preparing = 0
@@ -61,8 +66,10 @@
         self.sequence = 0
         self.counts = [0] * (SETS * EXPERTS)
         self.history = []
-        # Called with each order before it is carried out; see case.py.
+        # Called with each order before it is carried out, and for each answer;
+        # see case.py.
         self.before_order = None
+        self.note_answer = None
         # Time of a copy over that of its bytes on the link.
         self.copy_factor = 1.0
 
@@ -84,6 +91,7 @@
             'kv_total': 186000,
             'handles': 0,
             'pace': 1,
+            'born': self.born,
             'group': {'name': 'g', 'epoch': 1, 'rank': self.number, 'state': 'open'},
             'size': RANKS,
             'step': self.group.step,
@@ -168,6 +176,7 @@
         self.highest = version
         self.preparing = version
         self.next_experts = mine
+        self.next_content = json.dumps(placement)
         self.prepared_at = trio.current_time() + sum(new) * COPY_S * self.copy_factor
         return 202
 
@@ -175,6 +184,7 @@
         if self.armed and self.armed[1] == step:
             self.version = self.armed[0]
             self.experts = self.next_experts
+            self.content = self.next_content
             self.armed = None
             self.preparing = 0
         for index, weight in enumerate(self.group.weights):
@@ -192,6 +202,8 @@
             'body': body,
             'attempt': headers.get('attempt-id', ''),
         }
+        if self.note_answer is not None:
+            self.note_answer(self)
         if late := getattr(reader, 'extra', None):
             # A second answer to an earlier request on this connection comes
             # where the next answer is expected.
@@ -203,13 +215,19 @@
         elif path == '/amaranthrail/report':
             await self.send_json(stream, 200, self.report())
         elif path.startswith('/amaranthrail/picked'):
-            content = {'step': self.group.step, 'epoch': 1, 'counts': self.counts}
+            content = {
+                'step': self.group.step,
+                'epoch': 1,
+                'counts': self.counts,
+                'born': self.born,
+            }
             if 'lists' in path:
                 content = {
                     'step': self.group.step,
                     'epoch': 1,
                     'map': {'version': self.version, 'experts': self.experts},
                     'prepared': None,
+                    'born': self.born,
                 }
             await self.send_json(stream, 200, content)
         elif path == '/amaranthrail/order':
@@ -317,7 +335,8 @@
             for rank in self.ranks:
                 rank.begin_pass(step)
             versions = {rank.name: rank.version for rank in self.ranks}
-            if len(set(versions.values())) > 1:
+            maps = {(rank.version, rank.content) for rank in self.ranks}
+            if len(maps) > 1:
                 if not self.broken:
                     self.record.write(f'pass {step} begins with the maps {versions}')
                 self.broken.append(step)
