Measure for how long the event loop is held, and log what held it

Change: a histogram of the loop's passes (loop_pass_seconds), a counter of steps of 50 ms and more (loop_long_steps_total), and at most one log line a second on such a step, with its task and the connection whose bytes it handles.

--- a/src/amaranthrail/adapters/httpclient.py
+++ b/src/amaranthrail/adapters/httpclient.py
@@ -28,8 +28,10 @@
 from ..clock import MS_PER_SECOND, Clock
 from ..decoding import parse_count
 from ..exceptions import HttpError, ResponseTooLargeError
+from ..looptimes import name_work
 from ..types import HeaderList
 from .buffers import BufferShare
+from .peernames import peer_name
 
 #: Highest port of TCP and UDP.
 MAX_PORT = 65_535
@@ -149,6 +151,7 @@
         """Read from the connection that the request is sent on."""
         self._parser = parser
         self._stream = stream
+        self._name = f'upstream {peer_name(stream)}'
         self._limit = limit
         self._max_bytes: int | None = None
         self._is_read_whole = False
@@ -262,12 +265,16 @@
                 event = self._parser.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                received = await self._stream.receive_some(_READ_BYTES)
-                self._count_received(len(received))
-                self._parser.receive_data(bytes(received))
+                await self._receive()
             except _CONNECTION_ERRORS as error:
                 raise HttpError(f'answer cut: {error}', sent=True) from error
 
+    async def _receive(self) -> None:
+        received = bytes(await self._stream.receive_some(_READ_BYTES))
+        name_work(self._name)
+        self._count_received(len(received))
+        self._parser.receive_data(received)
+
     def _count_received(self, received_bytes: int) -> None:
         self._received_bytes += received_bytes
         max_bytes = self._max_bytes
--- a/src/amaranthrail/adapters/httpserver.py
+++ b/src/amaranthrail/adapters/httpserver.py
@@ -14,11 +14,13 @@
 from ..clock import move_on_after, sleep
 from ..exceptions import InvariantError
 from ..logs import part_logger
+from ..looptimes import name_work
 from ..outcomes import Outcome
 from ..policy.buffering import BUFFER_SHARE
 from ..types import HeaderList
 from .buffers import BufferBudget, BufferShare
 from .httpclient import encode_fields
+from .peernames import peer_name
 
 #: Bytes that a request's header fields may have together.
 MAX_HEADER_BYTES = 16_384
@@ -292,6 +294,7 @@
 class _Connection:
     def __init__(self, stream: trio.abc.Stream, state: ServerState) -> None:
         self._stream = stream
+        self._name = f'caller {peer_name(stream)}'
         self._state = state
         self._parser = h11.Connection(
             h11.SERVER,
@@ -432,6 +435,7 @@
             interim = h11.InformationalResponse(status_code=100, headers=[])
             await self.send(interim)
         received = bytes(await self._stream.receive_some(READ_BYTES))
+        name_work(self._name)
         self._parser.receive_data(received)
         return received
 
--- a/src/amaranthrail/daemon.py
+++ b/src/amaranthrail/daemon.py
@@ -15,6 +15,8 @@
 from .entry.service import Entry
 from .exceptions import SettingError
 from .logs import configure_logs
+from .looptimes import LoopTimes
+from .runtime import Runtime
 from .settings import (
     ENVIRONMENT_PREFIX,
     EntrySettings,
@@ -38,6 +40,10 @@
 
 
 class _Process(Protocol):
+    @property
+    def runtime(self) -> Runtime:
+        """Return what the parts of the process share."""
+
     async def run(self) -> None: ...
 
     def stop(self) -> None: ...
@@ -99,7 +105,9 @@
             settings.log_level,
             process=settings.name,
         )
-        trio.run(partial(_run, create_process(settings)))
+        process = create_process(settings)
+        times = LoopTimes(process.runtime.metrics, process.runtime.clock)
+        trio.run(partial(_run, process), instruments=[times])
     except* SettingError as group:
         sys.stderr.write(f'amaranthraild: {group.exceptions[0]}\n')
         sys.exit(EXIT_SETTING)
--- a/src/amaranthrail/direct/service.py
+++ b/src/amaranthrail/direct/service.py
@@ -157,6 +157,11 @@
         """Return the settings in force, after the latest reload."""
         return self._settings
 
+    @property
+    def metrics(self) -> Metrics:
+        """Return the metrics of the entry."""
+        return self._metrics
+
     @property
     def cluster_state(self) -> ClusterState:
         """Return the entry's view of configuration and upstreams."""
--- a/src/amaranthrail/exposition.py
+++ b/src/amaranthrail/exposition.py
@@ -12,7 +12,7 @@
 from prometheus_client.core import Metric
 from prometheus_client.registry import Collector
 
-from .metrics import Metrics
+from .metrics import Metrics, Sample
 
 _PREFIX = 'amaranthrail_'
 
@@ -32,11 +32,20 @@
             gauge = _metric(name, 'gauge')
             gauge.add_sample(_PREFIX + name, {}, reading)
             yield gauge
+        yield from self._collect_durations()
+
+    def _collect_durations(self) -> Iterator[Metric]:
         for name, latency in self._metrics.latencies.items():
-            summary = _metric(f'{name}_seconds', 'summary')
-            for latency_sample in latency.samples(f'{_PREFIX}{name}_seconds'):
-                summary.add_sample(*latency_sample)
-            yield summary
+            seconds = f'{name}_seconds'
+            yield _with_samples(
+                _metric(seconds, 'summary'), latency.samples(_PREFIX + seconds)
+            )
+        for name, histogram in self._metrics.histograms.items():
+            seconds = f'{name}_seconds'
+            yield _with_samples(
+                _metric(seconds, 'histogram'),
+                histogram.samples(_PREFIX + seconds),
+            )
 
 
 def metrics_text(metrics: Metrics) -> bytes:
@@ -48,3 +57,9 @@
 
 def _metric(name: str, metric_type: str) -> Metric:
     return Metric(_PREFIX + name, name.replace('_', ' '), metric_type)
+
+
+def _with_samples(metric: Metric, samples: Iterator[Sample]) -> Metric:
+    for sample in samples:
+        metric.add_sample(*sample)
+    return metric
--- a/src/amaranthrail/platform/program.py
+++ b/src/amaranthrail/platform/program.py
@@ -23,6 +23,7 @@
     configure_logs,
     part_logger,
 )
+from ..looptimes import LoopTimes
 from ..signals import LoopMonitor, on_stop_signal, receive_signals
 from . import headers, records
 from .ranks import HttpRank
@@ -68,7 +69,10 @@
         partial(HttpRank, link_mbps=settings.link_mbps),
     )
     monitor = LoopMonitor(Clock())
-    trio.run(partial(_run, entry, path, writer, monitor), instruments=[monitor])
+    trio.run(
+        partial(_run, entry, path, writer, monitor),
+        instruments=[monitor, LoopTimes(entry.metrics, Clock())],
+    )
     # Freeing all objects takes the interpreter 0.1 s and more on a busy host;
     # the kill at the end of the grace period may come before.
     os._exit(0)
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -38,3 +38,20 @@
     median = next(line for line in lines if 'quantile="0.5"' in line)
     # The histogram keeps two significant digits.
     assert round(float(median.split()[1]), 2) == pytest.approx(0.15, abs=0.01)
+
+
+def test_histograms_are_written_with_cumulative_buckets() -> None:
+    metrics = Metrics()
+    for duration_ms in (0.5, 40, 40, 60_000):
+        metrics.histogram('loop_pass').record(duration_ms)
+    lines = metrics_text(metrics).decode().splitlines()
+    name = 'amaranthrail_loop_pass_seconds'
+    expected = {
+        f'# TYPE {name} histogram',
+        f'{name}_bucket{{le="0.001"}} 1.0',
+        f'{name}_bucket{{le="0.05"}} 3.0',
+        f'{name}_bucket{{le="10.0"}} 3.0',
+        f'{name}_bucket{{le="+Inf"}} 4.0',
+        f'{name}_sum 60.0805',
+    }
+    assert expected <= set(lines)
