Parse input in short steps, and let costly connections take turns

Cause: h11 makes some 6,500 events of a read of 64 KB, 40 to 70 ms, and no other task ran before the last was handled; with several connections the work exceeds a core, so short steps alone leave everybody waiting. A request body also searched its head for a length once a chunk. Change: HttpInput gives the parser a kilobyte of a chunked body at a time and lets others run after 32 units of work (events) of one read; what is left takes turns, all connections together 16,000 units a second, the one with the fewest turns first. A costly connection is thus read slowly, not its neighbours. Heads with very many lines take turns too. Reads take 16 KB. Turns are counted (input_turns) and logged, once a second at most. Ruled out: short steps without a share for all (waiting grows with the number of such connections); a parser of our own.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,7 +7,18 @@
 from pathlib import Path
 from types import MappingProxyType
 
-from . import affinity, crest, hedging, hol, path, recovery, skew, subset, wave
+from . import (
+    affinity,
+    crest,
+    hedging,
+    hol,
+    path,
+    recovery,
+    skew,
+    smallparts,
+    subset,
+    wave,
+)
 
 Bench = Callable[[int, Path | None, Path | None], None]
 BENCHES: Mapping[str, Bench] = MappingProxyType(
@@ -21,6 +32,7 @@
         'subset': subset.main,
         'wave': wave.main,
         'hedging': hedging.main,
+        'smallparts': smallparts.main,
     },
 )
 DEFAULT_SEED = 20261204
--- a/src/amaranthrail/adapters/httpclient.py
+++ b/src/amaranthrail/adapters/httpclient.py
@@ -28,10 +28,10 @@
 from ..clock import MS_PER_SECOND, Clock
 from ..decoding import parse_count
 from ..exceptions import HttpError, ResponseTooLargeError
-from ..looptimes import name_work
+from ..policy.parsing import is_costly
 from ..types import HeaderList
 from .buffers import BufferShare
-from .peernames import peer_name
+from .httpinput import HttpInput, ParserEvent
 
 #: Highest port of TCP and UDP.
 MAX_PORT = 65_535
@@ -44,8 +44,6 @@
 REDUCED_RESPONSE_BYTES = 65_536
 #: Most informational (1xx) responses before the final one.
 MAX_INTERIM_RESPONSES = 16
-#: Most bytes taken from a stream by one read.
-_READ_BYTES = 65_536
 #: Most idle connections that one client keeps.
 _MAX_IDLE = 64
 #: An idle connection is not reused in the last part of the keep-alive timeout
@@ -63,7 +61,6 @@
 _KEEP_ALIVE_TIMEOUT = re.compile(r'timeout=(\d+)', re.IGNORECASE)
 #: Name and value of a header field.
 _EncodedField = tuple[bytes, bytes]
-_ParserEvent = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 #: What streams and the parser raise when a connection fails.
 _CONNECTION_ERRORS = (
     trio.BrokenResourceError,
@@ -144,14 +141,11 @@
 
     def __init__(
         self,
-        parser: h11.Connection,
-        stream: trio.abc.Stream,
+        http_input: HttpInput,
         limit: ResponseLimit,
     ) -> None:
         """Read from the connection that the request is sent on."""
-        self._parser = parser
-        self._stream = stream
-        self._name = f'upstream {peer_name(stream)}'
+        self._input = http_input
         self._limit = limit
         self._max_bytes: int | None = None
         self._is_read_whole = False
@@ -174,6 +168,15 @@
         """Tell whether any byte of a response has arrived."""
         return self._received_bytes > 0
 
+    @property
+    def is_costly(self) -> bool:
+        """Tell whether the response costs more work than sound ones do."""
+        return is_costly(self._input.turns)
+
+    def count_stream_events(self, count: int) -> None:
+        """Count work on events of a stream in the part that arrived last."""
+        self._input.count_stream_events(count)
+
     async def read_head(self) -> None:
         """Wait for the head of the final response, skipping 1xx responses.
 
@@ -228,7 +231,7 @@
             async for part in parts:
                 yield part
 
-    async def _next_head(self) -> _ParserEvent:
+    async def _next_head(self) -> ParserEvent:
         """Return the next event; a head of another version is none.
 
         The parser checks statuses, and takes any version.
@@ -259,22 +262,16 @@
             if isinstance(event, h11.Data):
                 yield bytes(event.data)
 
-    async def _next_event(self) -> _ParserEvent:
+    async def _next_event(self) -> ParserEvent:
         while True:
             try:
-                event = self._parser.next_event()
+                event = await self._input.poll()
                 if event is not h11.NEED_DATA:
                     return event
-                await self._receive()
+                self._count_received(await self._input.receive())
             except _CONNECTION_ERRORS as error:
                 raise HttpError(f'answer cut: {error}', sent=True) from error
 
-    async def _receive(self) -> None:
-        received = bytes(await self._stream.receive_some(_READ_BYTES))
-        name_work(self._name)
-        self._count_received(len(received))
-        self._parser.receive_data(received)
-
     def _count_received(self, received_bytes: int) -> None:
         self._received_bytes += received_bytes
         max_bytes = self._max_bytes
@@ -286,8 +283,7 @@
 
 
 class _IdleConnection(msgspec.Struct, frozen=True):
-    parser: h11.Connection
-    stream: trio.abc.Stream
+    http_input: HttpInput
     usable_until: float
 
 
@@ -342,7 +338,7 @@
     def close_idle(self) -> None:
         """Close the idle connections; those in use stay open."""
         while self._idle:
-            _close_transport(self._idle.pop().stream)
+            _close_transport(self._idle.pop().http_input.stream)
 
     @asynccontextmanager
     async def exchange(
@@ -365,14 +361,11 @@
         Raises HttpError.
         """
         idle = None if new_connection else self._pop_idle()
-        if idle is None:
-            parser, stream = await self._connect()
-        else:
-            parser, stream = idle
-        exchange = HttpExchange(parser, stream, self._limit)
+        http_input = idle or await self._connect()
+        exchange = HttpExchange(http_input, self._limit)
         try:
             send = partial(
-                self._send, parser, stream, method, target, headers, body
+                self._send, http_input, method, target, headers, body
             )
             await _send_and_read_head(
                 exchange,
@@ -382,7 +375,7 @@
             )
             yield exchange
         finally:
-            await self._release(parser, stream, exchange)
+            await self._release(http_input, exchange)
 
     async def call(
         self,
@@ -416,24 +409,25 @@
         with trio.socket.socket(family) as connection:
             await connection.connect((self._address.host, self._address.port))
 
-    def _pop_idle(self) -> tuple[h11.Connection, trio.abc.Stream] | None:
+    def _pop_idle(self) -> HttpInput | None:
         """Return the idle connection used last that can still be reused."""
         while self._idle:
             idle = self._idle.pop()
             expired = self._clock.now() > idle.usable_until
-            if not expired and not _has_input_or_ended(idle.stream):
-                return idle.parser, idle.stream
-            _close_transport(idle.stream)
+            stream = idle.http_input.stream
+            if not expired and not _has_input_or_ended(stream):
+                return idle.http_input
+            _close_transport(stream)
         return None
 
-    async def _connect(self) -> tuple[h11.Connection, trio.abc.Stream]:
+    async def _connect(self) -> HttpInput:
         try:
             with trio.fail_after(self._connect_timeout_s):
                 stream = await self._open()
         except _CONNECTION_ERRORS as error:
             reason = f'{self._address} does not accept: {error}'
             raise HttpError(reason, sent=False) from error
-        return h11.Connection(h11.CLIENT), stream
+        return HttpInput(h11.CLIENT, stream)
 
     async def _open(self) -> trio.abc.Stream:
         stream = await trio.open_tcp_stream(
@@ -454,8 +448,7 @@
 
     async def _send(
         self,
-        parser: h11.Connection,
-        stream: trio.abc.Stream,
+        http_input: HttpInput,
         method: str,
         target: str,
         headers: HeaderList,
@@ -472,31 +465,30 @@
             target=target,
             headers=encode_fields(fields),
         )
+        parser = http_input.parser
         payload = parser.send(request) or b''
         if body:
             payload += parser.send(h11.Data(data=body)) or b''
         payload += parser.send(h11.EndOfMessage()) or b''
         try:
-            await stream.send_all(payload)
+            await http_input.stream.send_all(payload)
         except _CONNECTION_ERRORS as error:
             raise HttpError(f'request cut: {error}', sent=True) from error
 
     async def _release(
-        self,
-        parser: h11.Connection,
-        stream: trio.abc.Stream,
-        exchange: HttpExchange,
+        self, http_input: HttpInput, exchange: HttpExchange
     ) -> None:
         """Keep a reusable connection if there is room, else close it."""
+        parser = http_input.parser
         done = parser.our_state is h11.DONE and parser.their_state is h11.DONE
         # Bytes after the response belong to no request.
-        is_reusable = done and not parser.trailing_data[0]
+        is_reusable = done and not http_input.has_unread
         if is_reusable and len(self._idle) < _MAX_IDLE:
-            parser.start_next_cycle()
+            http_input.start_next()
             usable_until = self._clock.now() + _reusable_ms(exchange.headers)
-            self._idle.append(_IdleConnection(parser, stream, usable_until))
+            self._idle.append(_IdleConnection(http_input, usable_until))
             return
-        await trio.aclose_forcefully(stream)
+        await trio.aclose_forcefully(http_input.stream)
 
 
 def _check_version(version: bytes) -> None:
--- a/src/amaranthrail/adapters/httpserver.py
+++ b/src/amaranthrail/adapters/httpserver.py
@@ -14,18 +14,17 @@
 from ..clock import move_on_after, sleep
 from ..exceptions import InvariantError
 from ..logs import part_logger
-from ..looptimes import name_work
 from ..outcomes import Outcome
 from ..policy.buffering import BUFFER_SHARE
 from ..types import HeaderList
 from .buffers import BufferBudget, BufferShare
 from .httpclient import encode_fields
-from .peernames import peer_name
+from .httpinput import MAX_HEAD_BYTES, HttpInput, ParserEvent
 
 #: Bytes that a request's header fields may have together.
-MAX_HEADER_BYTES = 16_384
-#: Most bytes taken from a stream by one read.
-READ_BYTES = 65_536
+MAX_HEADER_BYTES = MAX_HEAD_BYTES
+#: Most bytes taken by one read from a stream whose input is discarded.
+_DISCARD_BYTES = 65_536
 #: Time from a request's head to the end of its body.
 BODY_TIMEOUT_MS = 20_000
 #: Time that a connection may wait for a request.
@@ -62,7 +61,6 @@
     trio.TooSlowError,
     h11.RemoteProtocolError,
 )
-_ParserEvent = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 
 
 class ServerLimits(msgspec.Struct, frozen=True):
@@ -294,11 +292,9 @@
 class _Connection:
     def __init__(self, stream: trio.abc.Stream, state: ServerState) -> None:
         self._stream = stream
-        self._name = f'caller {peer_name(stream)}'
         self._state = state
-        self._parser = h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=state.limits.max_header_bytes,
+        self._input = HttpInput(
+            h11.SERVER, stream, state.limits.max_header_bytes
         )
         self._pipelined_bytes = 0
         self._reused = False
@@ -310,16 +306,18 @@
     @property
     def can_respond(self) -> bool:
         """Return whether no byte of a response has been sent."""
-        return self._parser.our_state is h11.SEND_RESPONSE
+        return self._input.parser.our_state is h11.SEND_RESPONSE
 
     async def send(self, *events: h11.Event) -> None:
-        payload = b''.join(self._parser.send(event) or b'' for event in events)
+        payload = b''.join(
+            self._input.parser.send(event) or b'' for event in events
+        )
         with trio.fail_after(WRITE_TIMEOUT_MS / 1000):
             await self._stream.send_all(payload)
 
-    async def next_event(self) -> _ParserEvent:
+    async def next_event(self) -> ParserEvent:
         while True:
-            event = self._parser.next_event()
+            event = await self._input.poll()
             if event is not h11.NEED_DATA:
                 return event
             await self._receive()
@@ -361,12 +359,11 @@
         """
         while self._pipelined_bytes < _MAX_PIPELINED_BYTES:
             try:
-                received = await self._stream.receive_some(_MAX_PIPELINED_BYTES)
+                received_bytes = await self._input.receive(_MAX_PIPELINED_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
-                received = b''
-            self._parser.receive_data(bytes(received))
-            self._pipelined_bytes += len(received)
-            if not received:
+                received_bytes = 0
+            self._pipelined_bytes += received_bytes
+            if not received_bytes:
                 if not response.finished:
                     scope.cancel()
                 return
@@ -382,14 +379,16 @@
         with move_on_after(LINGER_MS):
             is_sending = True
             while is_sending:
-                is_sending = bool(await self._stream.receive_some(READ_BYTES))
+                is_sending = bool(
+                    await self._stream.receive_some(_DISCARD_BYTES)
+                )
 
     def start_next(self) -> bool:
         """Prepare for the next request; return False if there can be none."""
-        done = self._parser.our_state is h11.DONE
-        if not done or self._parser.their_state is not h11.DONE:
+        done = self._input.parser.our_state is h11.DONE
+        if not done or self._input.parser.their_state is not h11.DONE:
             return False
-        self._parser.start_next_cycle()
+        self._input.start_next()
         self._pipelined_bytes = 0
         self._reused = True
         return True
@@ -408,9 +407,9 @@
             return _HTTP_TIMEOUT
         return event if isinstance(event, h11.Request) else None
 
-    async def _await_first_event(self) -> _ParserEvent | None:
+    async def _await_first_event(self) -> ParserEvent | None:
         """Return None where nothing arrives before the idle timeout."""
-        event: _ParserEvent | None = None
+        event: ParserEvent | None = None
         with self._state.idle_timeout(reused=self._reused):
             if self._state.limits.header_timeout_ms is None:
                 event = await self.next_event()
@@ -418,32 +417,30 @@
                 event = await self._receive_first_bytes()
         return event
 
-    async def _receive_first_bytes(self) -> _ParserEvent:
+    async def _receive_first_bytes(self) -> ParserEvent:
         """Return the parser's event after at most one read.
 
         The event is NEED_DATA where the head is not complete then.
         """
-        event = self._parser.next_event()
+        event = await self._input.poll()
         if event is h11.NEED_DATA:
             await self._receive()
-            event = self._parser.next_event()
+            event = await self._input.poll()
         return event
 
-    async def _receive(self) -> bytes:
+    async def _receive(self) -> None:
         """Read once into the parser, sending a due 100 Continue first."""
-        if self._parser.they_are_waiting_for_100_continue:
+        if self._input.parser.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             await self.send(interim)
-        received = bytes(await self._stream.receive_some(READ_BYTES))
-        name_work(self._name)
-        self._parser.receive_data(received)
-        return received
+        await self._input.receive()
 
     async def _read_body(
         self, head: h11.Request, share: BufferShare
     ) -> HttpRequest | int:
         """Return the complete request, or the status that refuses it."""
         body = bytearray()
+        stated_length = _stated_length(head)
         while True:
             event = await self.next_event()
             if isinstance(event, h11.EndOfMessage):
@@ -452,7 +449,7 @@
                 body += event.data
             if len(body) > self._state.limits.max_body_bytes:
                 return _HTTP_TOO_LARGE
-            size = max(len(body), _stated_length(head))
+            size = max(len(body), stated_length)
             if not share.resize(size):
                 return _HTTP_UNAVAILABLE
         return HttpRequest(
--- a/src/amaranthrail/adapters/probes.py
+++ b/src/amaranthrail/adapters/probes.py
@@ -9,6 +9,7 @@
 from ..metrics import Metrics
 from .httpserver import ResponseWriter
 from .problem import send_json
+from .turns import turn_queue
 
 _OK = 200
 _UNAVAILABLE = 503
@@ -32,6 +33,8 @@
     The exposition module is imported in a thread, because importing it takes
     longer than streams may pause.
     """
+    metrics.gauge('input_turns', turn_queue().turns)
+    metrics.gauge('input_turns_waiting', turn_queue().waiting)
     exposition = await trio.to_thread.run_sync(
         import_module,
         '..exposition',
--- a/src/amaranthrail/direct/relay.py
+++ b/src/amaranthrail/direct/relay.py
@@ -24,6 +24,8 @@
 
 #: Longest event stream in bytes on the wire; each event is passed on at once.
 MAX_STREAM_BYTES = 67_108_864
+#: Bytes of a stream from which events are split in one step.
+_STEP_BYTES = 4096
 #: Makes a context manager that surrounds one wait of an attempt.
 WatchWait = Callable[['RelayedAttempt'], AbstractContextManager[object]]
 
@@ -253,10 +255,17 @@
     async def _relay_part(
         self, exchange: HttpExchange, headers: HeaderList, part: bytes
     ) -> None:
-        events = self._splitter.feed(part)
-        self._share.hold(self._splitter.pending_bytes)
-        if not events:
-            return
+        for start in range(0, len(part), _STEP_BYTES):
+            earlier_events = self._splitter.events
+            events = self._splitter.feed(part[start : start + _STEP_BYTES])
+            self._share.hold(self._splitter.pending_bytes)
+            exchange.count_stream_events(self._splitter.events - earlier_events)
+            if events:
+                await self._relay_events(exchange, headers, events)
+
+    async def _relay_events(
+        self, exchange: HttpExchange, headers: HeaderList, events: bytes
+    ) -> None:
         await self._relay.select(self)
         if not self.has_begun:
             self._begin_ms = self.age_ms
--- a/standins/platformfleet.py
+++ b/standins/platformfleet.py
@@ -63,6 +63,7 @@
     kinds = {
         'stream': ('streaming', 'engine'),
         'long': ('streaming', 'engine'),
+        'whole': ('idempotent', 'engine'),
         'read': ('idempotent', 'plain'),
         'book': ('non_idempotent', 'plain'),
         f'v{version}': ('idempotent', 'plain'),
--- a/tests/test_evacuated_calls.py
+++ b/tests/test_evacuated_calls.py
@@ -4,10 +4,10 @@
 
 from collections import Counter
 
-import h11
 import pytest
 import trio
 
+from amaranthrail.adapters.httpinput import HttpInput
 from amaranthrail.exceptions import HttpError
 from standins.keyedlog import StoreFault
 from standins.replica import STREAM_EVENTS, Behaviour
@@ -182,7 +182,7 @@
         connect = upstream.client._connect
         connections = Counter[str]()
 
-        async def connect_late() -> tuple[h11.Connection, trio.abc.Stream]:
+        async def connect_late() -> HttpInput:
             connections['opened'] += 1
             connection = await connect()
             await bench.add_replica('p2')
--- /dev/null
+++ b/tests/test_small_parts.py
@@ -0,0 +1,80 @@
+"""Test entries beside upstreams whose responses come in very small parts."""
+
+from __future__ import annotations
+
+import contextlib
+import signal
+
+import trio
+
+from amaranthrail.exceptions import HttpError
+from standins.platformfleet import (
+    EntryProcess,
+    PlatformFleet,
+    platform_fleet,
+)
+from standins.smallparts import FORMS, SmallPartsUpstream, send_requests
+
+#: Streams to the faulty upstream at a time, and sound calls beside them.
+STREAMS = 4
+CALLS = 20
+#: The users' bound of the grace period, and what a host may need besides.
+GRACE_S = 8.0
+EXIT_SLACK_S = 5.0
+
+
+async def start_faulty(
+    nursery: trio.Nursery, form: str
+) -> tuple[str, SmallPartsUpstream]:
+    """Return the address of an upstream that responds in a form, and it."""
+    faulty = SmallPartsUpstream(FORMS[form])
+    listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+    nursery.start_soon(trio.serve_listeners, faulty.serve, listeners)
+    port = listeners[0].socket.getsockname()[1]
+    return f'127.0.0.1:{port}', faulty
+
+
+async def disturb(entry: EntryProcess) -> None:
+    """Call the faulty upstream again and again."""
+    number = 0
+    while True:
+        number += 1
+        with contextlib.suppress(HttpError), trio.move_on_after(4):
+            await entry.call('POST', '/stream/1', f'disturb-{number}')
+
+
+async def add_upstreams(fleet: PlatformFleet, nursery: trio.Nursery) -> None:
+    await fleet.add_replica('p1', 'plain')
+    address, _ = await start_faulty(nursery, 'stream, chunks of 5 bytes')
+    fleet.write_replica_record('e1', 'engine', address=address)
+
+
+def test_sound_calls_are_served_beside_streams_of_chunks() -> None:
+    """Guards against an entry process that such streams stop for seconds.
+
+    Faulty callers send at the same time, and the streams go on in a shutdown.
+    """
+
+    async def main() -> None:
+        async with platform_fleet() as fleet, trio.open_nursery() as nursery:
+            await add_upstreams(fleet, nursery)
+            entry = fleet.add_entry()
+            await entry.until_ready()
+            for _ in range(STREAMS):
+                nursery.start_soon(disturb, entry)
+            for kind in ('request body, chunks of 5 bytes',):
+                nursery.start_soon(send_requests, entry.host, 8227, kind)
+            await trio.sleep(1)
+            statuses = []
+            for number in range(CALLS):
+                response = await entry.call('GET', '/read/1', f'sound-{number}')
+                statuses.append(response.status)
+            await entry.until_ready()
+            entry.send_signal(signal.SIGTERM)
+            with trio.fail_after(GRACE_S + EXIT_SLACK_S):
+                exit_code = await entry.wait()
+            nursery.cancel_scope.cancel()
+        assert statuses == CALLS * [200]
+        assert exit_code == 0
+
+    trio.run(main)
