Refuse heads before a line that takes the parser seconds to refuse

Seen: a caller or an upstream that sends a field name, 16 KB of spaces and a control character stops the entry for 1.0 s, with 64 KB in one read for 9 s (h11 alone, this machine); a chunk extension of spaces with a bare line end 0.3 and 2.2 s. Trailers have the same lines. Cause: h11's patterns for header lines and chunk headers take quadratic time where such a line does not match in the end. Change: a head is kept until it is whole and refused as h11 would, but before it, if it has a control character; what the parser keeps of a chunk header or of trailers is bounded by 2 KB, and such a step takes a long turn from 256 bytes on. Evidence: test_a_request_that_is_slow_to_refuse_is_not_parsed (3 of 5 forms) and test_a_response_that_is_slow_to_refuse_is_not_parsed (2 of 2) failed on, with 15,024 bytes and more in the parser, bound 4,096; on the commit before, test_sound_calls_are_served_beside_streams_of_chunks fails with such heads added to it, and passes now.

--- a/src/amaranthrail/adapters/httpinput.py
+++ b/src/amaranthrail/adapters/httpinput.py
@@ -10,6 +10,7 @@
 from ..looptimes import name_work
 from ..policy.parsing import (
     FREE_UNITS,
+    LONG_LINE_UNITS,
     TURN_UNITS,
     event_units,
     head_units,
@@ -23,9 +24,17 @@
 READ_BYTES = 16_384
 #: Bytes of a chunked body that the parser gets in one step.
 _PART_BYTES = 1024
+#: Most bytes of trailers, or of a chunk's header, that are kept for the parser.
+#: It takes quadratic time for some that are not valid.
+_MAX_FRAMING_BYTES = 2048
+#: Bytes of such framing that are more than any usual chunk header.
+_LONG_FRAMING_BYTES = 256
 #: Bytes below this start no head.
 _FIRST_VISIBLE = 0x21
 _BLANK_LINE = re.compile(rb'\n\r?\n')
+#: Bytes that no head may have. The parser refuses them too, but after a time
+#: that is quadratic in the length of their line.
+_FORBIDDEN = re.compile(rb'[\x00\x0b\x0c]|\r(?!\n)')
 _HTTP_HEADERS_TOO_LARGE = 431
 _HEAD_STATES = frozenset((h11.IDLE, h11.SEND_RESPONSE))
 
@@ -132,7 +141,9 @@
             self._parser.start_next_cycle()
 
     def _make_parser(self) -> h11.Connection:
-        return h11.Connection(self._role)
+        return h11.Connection(
+            self._role, max_incomplete_event_size=_MAX_FRAMING_BYTES
+        )
 
     async def _take_turn(self, units: int) -> None:
         """Wait for a turn that allows so much more work."""
@@ -160,7 +171,7 @@
         if self._parser.their_state in _HEAD_STATES:
             size = await self._next_head_bytes()
         else:
-            size = self._next_body_bytes()
+            size = await self._next_body_bytes()
         if size:
             self._parser.receive_data(bytes(self._pending[:size]))
             del self._pending[:size]
@@ -189,6 +200,8 @@
             self._searched_bytes = max(0, len(self._pending) - 2)
             return 0
         head = self._pending[: end.end()]
+        if _FORBIDDEN.search(head):
+            raise h11.RemoteProtocolError('control character in a head')
         units = head_units(head.count(b'\n'))
         if units > FREE_UNITS:
             await self._take_turn(units)
@@ -204,7 +217,9 @@
         if self._has_ended:
             raise h11.RemoteProtocolError('connection ended in a head')
 
-    def _next_body_bytes(self) -> int:
+    async def _next_body_bytes(self) -> int:
         if not self._is_chunked:
             return len(self._pending)
+        if len(self._parser.trailing_data[0]) > _LONG_FRAMING_BYTES:
+            await self._take_turn(LONG_LINE_UNITS)
         return min(len(self._pending), _PART_BYTES)
--- a/tests/test_http_input.py
+++ b/tests/test_http_input.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import re
 from collections.abc import Awaitable, Callable
 
 import h11
@@ -19,13 +20,15 @@
     ServerState,
     serve_connection,
 )
+from amaranthrail.exceptions import HttpError
 from amaranthrail.policy.parsing import FREE_UNITS, TURN_UNITS
-from standins.smallparts import chunk
+from standins.smallparts import FORMS, chunk
 
 #: Chunks that are sent at once.
 PARTS = 3000
 HEAD = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
 POST = b'POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n'
+SPACES = b'a:%s\x00\r\n\r\n' % (15_000 * b' ')
 
 
 class LongestStep(trio.abc.Instrument):
@@ -117,6 +120,61 @@
     assert longest.most_events <= FREE_UNITS + TURN_UNITS
 
 
+@pytest.mark.parametrize(
+    'payload',
+    [
+        b'GET / HTTP/1.1\r\nhost: a\r\n%s' % SPACES,
+        b'GET / HTTP/1.1\r\nhost: a\r\nb: \x0b\r\n\r\n',
+        b'GET / HTTP/1.1\r\nhost: a\r\nb: c\rd\r\n\r\n',
+        b'%s0\r\n%s' % (POST, SPACES),
+        b'%s1;%s\n\r\n' % (POST, 15_000 * b' '),
+    ],
+    ids=[
+        'head, spaces',
+        'vertical tab',
+        'return',
+        'trailers',
+        'chunk extension',
+    ],
+)
+def test_a_request_that_is_slow_to_refuse_is_not_parsed(
+    payload: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a line that the parser needs seconds to refuse."""
+    fed = _count_fed_bytes(monkeypatch)
+    response = trio.run(serve_bytes, payload)
+    assert re.match(rb'HTTP/1.1 4(00|31) ', response)
+    assert max(fed, default=0) < 4096
+
+
+@pytest.mark.parametrize('form', ['head, spaces', 'trailers, spaces'])
+def test_a_response_that_is_slow_to_refuse_is_not_parsed(
+    form: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    fed = _count_fed_bytes(monkeypatch)
+    head = b'HTTP/1.1 200 OK\r\n'
+
+    async def use(client: HttpClient) -> None:
+        with pytest.raises(HttpError):
+            await client.call('GET', '/')
+
+    trio.run(with_server, head + FORMS[form].first, use)
+    assert max(fed, default=0) < 4096
+
+
+def _count_fed_bytes(monkeypatch: pytest.MonkeyPatch) -> list[int]:
+    """Return the sizes of what parsers hold after each feed, as they come."""
+    sizes: list[int] = []
+    receive_data = h11.Connection.receive_data
+
+    def count(parser: h11.Connection, received: bytes) -> None:
+        receive_data(parser, received)
+        sizes.append(len(parser.trailing_data[0]))
+
+    monkeypatch.setattr(h11.Connection, 'receive_data', count)
+    return sizes
+
+
 MESSAGES = (
     b'POST /1 HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\nabc',
     b'GET /2 HTTP/1.1\r\nhost: a\r\n\r\n',
--- a/tests/test_small_parts.py
+++ b/tests/test_small_parts.py
@@ -62,7 +62,10 @@
             await entry.until_ready()
             for _ in range(STREAMS):
                 nursery.start_soon(disturb, entry)
-            for kind in ('request body, chunks of 5 bytes',):
+            for kind in (
+                'request body, chunks of 5 bytes',
+                'request head, spaces',
+            ):
                 nursery.start_soon(send_requests, entry.host, 8227, kind)
             await trio.sleep(1)
             statuses = []
