Take a stream that sends bytes but no event for one that has stalled

Cause: the silence of a stream was counted from its latest part, so it never grew, and no other upstream was tried. Change: it counts from the latest whole event that was passed on. The first attempt goes on beside the second, as with other stalls, and the stall is a failure of its upstream.

--- a/src/amaranthrail/direct/relay.py
+++ b/src/amaranthrail/direct/relay.py
@@ -172,6 +172,8 @@
         self._opened_at = relay.now()
         self._head_ms: float | None = None
         self._begin_ms: float | None = None
+        self._waiting_since: Millis | None = None
+        self._has_stalled = False
 
     @property
     def last_id(self) -> str | None:
@@ -193,6 +195,21 @@
         """Tell whether an event of this attempt has been relayed."""
         return self._begin_ms is not None
 
+    @property
+    def has_stalled(self) -> bool:
+        """Tell whether the call was sent on because this attempt stalled."""
+        return self._has_stalled
+
+    @property
+    def waited_ms(self) -> float:
+        """Return the time for which the head or the next event is awaited.
+
+        Bytes without the end of an event do not count as progress.
+        """
+        if self._waiting_since is None:
+            return 0
+        return self._relay.now() - self._waiting_since
+
     @property
     def age_ms(self) -> float:
         """Return the time since the attempt was opened."""
@@ -209,6 +226,11 @@
     def record_head(self) -> None:
         """Record that the head of the response has arrived."""
         self._head_ms = self.age_ms
+        self._waiting_since = None
+
+    def record_stall(self) -> None:
+        """Record that the call is sent on because this attempt stalls."""
+        self._has_stalled = True
 
     def open_share(self) -> BufferShare:
         """Return the share of a response that is read whole."""
@@ -216,6 +238,8 @@
 
     def watch_wait(self) -> AbstractContextManager[object]:
         """Return what surrounds one wait for the upstream."""
+        if self._waiting_since is None:
+            self._waiting_since = self._relay.now()
         return self._watch_wait(self)
 
     async def relay_response(
@@ -274,6 +298,7 @@
         if gap_ms is not None:
             self._step_times.record_gap(gap_ms)
         await self._relay.send_events(exchange, headers, events)
+        self._waiting_since = None
 
 
 def _cut(cause: str) -> Failure:
--- a/src/amaranthrail/direct/rescue.py
+++ b/src/amaranthrail/direct/rescue.py
@@ -149,7 +149,7 @@
             if self._stalls is None:
                 return nullcontext()
             rescue = partial(self._rescue, attempt, upstream, start_second)
-            return self._stalls.watch(step_times, rescue)
+            return self._stalls.watch(step_times, rescue, attempt.waited_ms)
 
         with self._relay.open_attempt(step_times, watch_wait) as attempt:
             if is_hedge:
@@ -227,6 +227,7 @@
         second = None if self._running > 1 else self._choose_second()
         if second is None:
             return
+        attempt.record_stall()
         now = self._clock.now()
         if attempt.has_head:
             stalled.health.record_failure(now)
--- a/src/amaranthrail/direct/stalls.py
+++ b/src/amaranthrail/direct/stalls.py
@@ -35,14 +35,19 @@
 
     @contextmanager
     def watch(
-        self, step_times: StepTimes, on_stall: Callable[[], None]
+        self,
+        step_times: StepTimes,
+        on_stall: Callable[[], None],
+        waited_ms: float = 0,
     ) -> Iterator[None]:
         """Call ``on_stall`` in each check while the block's stream is stalled.
 
-        ``step_times`` are those of the group that serves the stream. The wait
-        itself goes on.
+        ``step_times`` are those of the group that serves the stream, and
+        ``waited_ms`` is the time for which its next event was awaited before.
+        The wait itself goes on.
         """
-        wait = _WatchedWait(self._clock.now(), step_times, on_stall)
+        since = self._clock.now() - waited_ms
+        wait = _WatchedWait(since, step_times, on_stall)
         self._waits.add(wait)
         try:
             yield
--- a/tests/test_small_parts.py
+++ b/tests/test_small_parts.py
@@ -5,6 +5,7 @@
 import contextlib
 import signal
 
+import pytest
 import trio
 
 from amaranthrail.exceptions import HttpError
@@ -12,9 +13,14 @@
     EntryProcess,
     PlatformFleet,
     platform_fleet,
+    start_server,
 )
+from standins.replica import STREAM_EVENTS, Replica
 from standins.smallparts import FORMS, SmallPartsUpstream, send_requests
 
+from .platformbench import PlatformBench, RunningEntry, run_on_platform
+from .platformbuild import route
+
 #: Streams to the faulty upstream at a time, and sound calls beside them.
 STREAMS = 4
 CALLS = 20
@@ -34,6 +40,61 @@
     return f'127.0.0.1:{port}', faulty
 
 
+async def start_entry(
+    bench: PlatformBench, form: str, path: str, kind: str
+) -> tuple[RunningEntry, SmallPartsUpstream]:
+    """Start an entry that knows only the faulty upstream of a service."""
+    routes = [
+        route(path, kind, 'engine', timeout_ms=8000, stream_resume=True),
+        route('read', 'idempotent', 'plain'),
+    ]
+    bench.configure(2, routes=routes)
+    address, faulty = await start_faulty(bench.nursery, form)
+    bench.announce('e1', address, service='engine')
+    await bench.add_replica('p1')
+    entry = await bench.start_entry()
+    await entry.until_ready()
+    return entry, faulty
+
+
+async def keep_streaming(entry: RunningEntry) -> None:
+    while True:
+        with contextlib.suppress(HttpError):
+            await entry.call('/stream/other', 'POST')
+
+
+@pytest.mark.parametrize(
+    'form', ['stream, chunks of 5 bytes', 'stream, chunks of 16000 bytes']
+)
+def test_a_stream_without_events_is_sent_to_another_upstream(form: str) -> None:
+    """Guards against bytes that hide that a stream has stalled."""
+
+    async def scenario(bench: PlatformBench) -> None:
+        entry, faulty = await start_entry(bench, form, 'stream', 'streaming')
+        async with trio.open_nursery() as nursery:
+
+            async def add_sound() -> None:
+                await trio.sleep(0.1)
+                sound = Replica('e2', pause_s=0.05)
+                address = await start_server(bench.nursery, sound.handle)
+                bench.announce('e2', str(address), service='engine')
+                await keep_streaming(entry)
+
+            nursery.start_soon(add_sound)
+            response = await entry.call(
+                '/stream/1', 'POST', deadline_remaining_ms='8000'
+            )
+            nursery.cancel_scope.cancel()
+        assert response.status == 200
+        assert response.body.count(b'\n\n') == STREAM_EVENTS
+        assert faulty.calls
+        upstream = entry.entry.cluster_state.directory.find('e1')
+        assert upstream is not None
+        assert upstream.health.failure_rate > 0
+
+    run_on_platform(scenario)
+
+
 async def disturb(entry: EntryProcess) -> None:
     """Call the faulty upstream again and again."""
     number = 0
