--- a/src/amaranthrail/direct/attempt.py
+++ b/src/amaranthrail/direct/attempt.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
+import trio
+
 from ..adapters.httpclient import HttpExchange
 from ..clock import Clock
 from ..exceptions import (
@@ -12,6 +14,7 @@
     RequestWithdrawnError,
     ResponseTooLargeError,
 )
+from ..logs import part_logger
 from ..types import Millis
 from .call import BufferedResponse, Call, Failure
 from .ports import ForwardingFields, ResponseMetadata, WireFormat
@@ -24,6 +27,7 @@
 #: Statuses from here on have no meaning assigned.
 _FIRST_UNASSIGNED = 600
 _EVENT_STREAM = 'text/event-stream'
+_log = part_logger('attempt')
 
 
 class AttemptSender:
@@ -82,9 +86,10 @@
                     exchange.status, exchange.headers
                 )
                 _record_statement(call, upstream, metadata, sent_at)
-                return await self._read_response(
-                    call, upstream, relayed, exchange, metadata
-                )
+                with self._watch_cost(upstream, relayed, exchange):
+                    return await self._read_response(
+                        call, upstream, relayed, exchange, metadata
+                    )
         except RequestWithdrawnError as error:
             return Failure(str(error), may_have_run=False, delivered=False)
         except ResponseTooLargeError as error:
@@ -121,6 +126,26 @@
         with relayed.watch_wait():
             yield
 
+    @contextmanager
+    def _watch_cost(
+        self,
+        upstream: Upstream,
+        relayed: RelayedAttempt,
+        exchange: HttpExchange,
+    ) -> Iterator[None]:
+        """Count an attempt that is given up as failed if it was costly.
+
+        The call may have been sent on, its caller may have left or its
+        deadline may have passed, as the response was read slowly for its cost.
+        """
+        try:
+            yield
+        except trio.Cancelled:
+            if exchange.is_costly and not relayed.has_stalled:
+                upstream.health.record_failure(self._clock.now())
+                _log.info('costly response', upstream=upstream.record.name)
+            raise
+
     async def _read_response(
         self,
         call: Call,
--- a/tests/test_small_parts.py
+++ b/tests/test_small_parts.py
@@ -95,6 +95,30 @@
     run_on_platform(scenario)
 
 
+@pytest.mark.parametrize(
+    ('form', 'path', 'kind'),
+    [
+        ('body, chunks of 1 byte', 'whole', 'idempotent'),
+        ('stream, chunks of 5 bytes', 'stream', 'streaming'),
+    ],
+)
+def test_a_costly_response_given_up_is_a_failure_of_its_upstream(
+    form: str, path: str, kind: str
+) -> None:
+    """Guards against an upstream that is chosen again and again."""
+
+    async def scenario(bench: PlatformBench) -> None:
+        entry, _ = await start_entry(bench, form, path, kind)
+        response = await entry.call(f'/{path}/1')
+        assert response.status in {503, 504}
+        upstream = entry.entry.cluster_state.directory.find('e1')
+        assert upstream is not None
+        assert upstream.health.failure_rate > 0
+        assert (await entry.call('/read/1')).status == 200
+
+    run_on_platform(scenario)
+
+
 async def disturb(entry: EntryProcess) -> None:
     """Call the faulty upstream again and again."""
     number = 0
