Handle frames between processes in short steps

Change: a read takes 16 KB, and other tasks run after 64 frames. A message between entries is gathered in one buffer, not copied for each read. Evidence: test_other_tasks_run_while_small_frames_are_received failed on (499 frames in one step, bound 65).

--- a/src/amaranthrail/adapters/link.py
+++ b/src/amaranthrail/adapters/link.py
@@ -27,7 +27,9 @@
 #: Largest frame accepted until the peer has proved that it knows the peer key.
 MAX_HANDSHAKE_BYTES = 4096
 #: Most bytes taken from a stream by one read.
-_READ_BYTES = 65_536
+_READ_BYTES = 16_384
+#: Received frames that are returned without letting other tasks run.
+_FRAMES_PER_STEP = 64
 _NONCE_BYTES = 24
 #: Encoded frames that may wait for the writer task; more end the connection.
 _MAX_OUTBOX_BYTES = 16_777_216
@@ -54,6 +56,7 @@
         self._clock = clock
         self._decoder = FrameDecoder(MAX_HANDSHAKE_BYTES)
         self._received: deque[AnyFrame] = deque()
+        self._returned_frames = 0
         self._outbox = bytearray()
         self._flushing = False
         self._wake = trio.Event()
@@ -116,6 +119,9 @@
                 raise LinkClosedError('peer closed')
             self._received_at = self._clock.now()
             self._received.extend(self._decoder.feed(bytes(received)))
+        self._returned_frames += 1
+        if self._returned_frames % _FRAMES_PER_STEP == 0:
+            await trio.lowlevel.checkpoint()
         return self._received.popleft()
 
     async def watch_liveness(self, timeout_ms: float) -> None:
--- a/src/amaranthrail/adapters/messages.py
+++ b/src/amaranthrail/adapters/messages.py
@@ -30,26 +30,25 @@
     too large. Only one message may be in flight each way: bytes after a message
     are taken for a part of it.
     """
-    received = bytes(await stream.receive_some())
+    received = bytearray(await stream.receive_some())
     if not received:
         return None
-    received = await _receive_until(stream, received, LENGTH_BYTES)
+    await _receive_until(stream, received, LENGTH_BYTES)
     length = int.from_bytes(received[:LENGTH_BYTES], 'big')
     if length > MAX_MESSAGE_BYTES:
         raise ValueError(f'message of {length} bytes is too large')
-    received = await _receive_until(stream, received, LENGTH_BYTES + length)
-    return received[LENGTH_BYTES:]
+    await _receive_until(stream, received, LENGTH_BYTES + length)
+    return bytes(received[LENGTH_BYTES:])
 
 
 async def _receive_until(
     stream: trio.abc.Stream,
-    received: bytes,
+    received: bytearray,
     size: int,
-) -> bytes:
-    """Return ``received`` and further bytes, at least ``size`` in all."""
+) -> None:
+    """Append further bytes to ``received`` until it has at least ``size``."""
     while len(received) < size:
         chunk = await stream.receive_some()
         if not chunk:
             raise ValueError('stream ended within a message')
         received += chunk
-    return received
--- a/tests/test_steps.py
+++ b/tests/test_steps.py
@@ -8,9 +8,10 @@
 
 import pytest
 import trio
-from trio.testing import MockClock
+from trio.testing import MockClock, memory_stream_pair
 
 from amaranthrail.adapters.httpclient import Address, HttpResponse
+from amaranthrail.adapters.link import Link
 from amaranthrail.clock import Clock
 from amaranthrail.direct.clusterstate import ClusterState
 from amaranthrail.direct.peermessages import SyncResponse
@@ -22,6 +23,7 @@
     UpstreamSync,
     follow_configuration,
 )
+from amaranthrail.frames import Heartbeat, encode_frame
 from amaranthrail.platform import store as platform_store
 from amaranthrail.platform.program import WIRE_FORMAT
 from amaranthrail.policy.storereads import RESPONSE_TIMEOUT_MS, ReadTimes
@@ -30,8 +32,9 @@
 from .stepcount import LongestStep
 
 RECORDS = 500
-#: Records, of some 40 microseconds each, that one step may handle.
+#: Records, of some 40 microseconds each, and frames that one step may handle.
 MOST_RECORDS = 64
+MOST_FRAMES = 64
 #: Records without content, of a microsecond each.
 MOST_EMPTY_RECORDS = 1000
 
@@ -145,3 +148,22 @@
     assert isinstance(changes, Changes)
     assert len(changes.records) == count
     assert longest.most_calls <= MOST_EMPTY_RECORDS
+
+
+def test_other_tasks_run_while_small_frames_are_received(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against frames of one connection that are handled in a row."""
+    longest = LongestStep(monkeypatch, Link, 'receive')
+    frame = encode_frame(Heartbeat(1, 0, 1, 1))
+
+    async def main() -> None:
+        ours, theirs = memory_stream_pair()
+        link = Link(ours, Clock())
+        link.allow_full_frames()
+        await theirs.send_all(RECORDS * frame)
+        for _ in range(RECORDS):
+            await link.receive()
+
+    trio.run(main, instruments=[longest])
+    assert longest.most_calls <= MOST_FRAMES + 1
