Test that sound streams are relayed however they are split

Added: the largest events in large chunks, an event in chunks of five bytes, one byte a chunk, and streams that end with their connection are relayed whole and count as no failure.

--- a/standins/smallparts.py
+++ b/standins/smallparts.py
@@ -28,12 +28,17 @@
 
 @dataclass(frozen=True)
 class Form:
-    """Hold what follows the status line and its fields: ``rest`` repeats."""
+    """Hold what follows the status line and its fields.
+
+    ``rest`` repeats for as long as the connection is open. Without it, the
+    upstream closes the connection itself if ``closes`` is set.
+    """
 
     first: bytes
     rest: bytes
     #: Whether the status line and the fields of the call come before.
     has_head: bool = True
+    closes: bool = False
 
 
 _STREAM_HEAD = b'%s%s' % (_STREAM, _CHUNKED)
@@ -72,6 +77,17 @@
 )
 
 
+def whole_stream(text: bytes, chunk_bytes: int) -> Form:
+    """Return a stream of a text in chunks, without them where 0 is given."""
+    if not chunk_bytes:
+        return Form(b'%s\r\n%s' % (_STREAM, text), b'', closes=True)
+    chunks = b''.join(
+        chunk(text[start : start + chunk_bytes])
+        for start in range(0, len(text), chunk_bytes)
+    )
+    return Form(b'%s%s%s' % (_STREAM_HEAD, chunks, chunk(b'')), b'')
+
+
 @dataclass
 class SmallPartsUpstream:
     """Respond to each call in one form, or soundly while it has none."""
@@ -86,7 +102,7 @@
             try:
                 while request := await _read_head(stream):
                     await self._respond(stream, request)
-            except trio.BrokenResourceError:
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
                 return
 
     async def _respond(self, stream: trio.SocketStream, request: bytes) -> None:
@@ -103,6 +119,8 @@
         if form.has_head:
             await stream.send_all(head)
         await _send(stream, form)
+        if form.closes:
+            await stream.aclose()
 
 
 def _sound_response(request: bytes) -> bytes:
--- a/tests/test_small_parts.py
+++ b/tests/test_small_parts.py
@@ -16,7 +16,13 @@
     start_server,
 )
 from standins.replica import STREAM_EVENTS, Replica
-from standins.smallparts import FORMS, SmallPartsUpstream, send_requests
+from standins.smallparts import (
+    FORMS,
+    Form,
+    SmallPartsUpstream,
+    send_requests,
+    whole_stream,
+)
 
 from .platformbench import PlatformBench, RunningEntry, run_on_platform
 from .platformbuild import route
@@ -30,10 +36,10 @@
 
 
 async def start_faulty(
-    nursery: trio.Nursery, form: str
+    nursery: trio.Nursery, form: Form
 ) -> tuple[str, SmallPartsUpstream]:
     """Return the address of an upstream that responds in a form, and it."""
-    faulty = SmallPartsUpstream(FORMS[form])
+    faulty = SmallPartsUpstream(form)
     listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
     nursery.start_soon(trio.serve_listeners, faulty.serve, listeners)
     port = listeners[0].socket.getsockname()[1]
@@ -41,7 +47,7 @@
 
 
 async def start_entry(
-    bench: PlatformBench, form: str, path: str, kind: str
+    bench: PlatformBench, form: Form, path: str, kind: str
 ) -> tuple[RunningEntry, SmallPartsUpstream]:
     """Start an entry that knows only the faulty upstream of a service."""
     routes = [
@@ -70,7 +76,9 @@
     """Guards against bytes that hide that a stream has stalled."""
 
     async def scenario(bench: PlatformBench) -> None:
-        entry, faulty = await start_entry(bench, form, 'stream', 'streaming')
+        entry, faulty = await start_entry(
+            bench, FORMS[form], 'stream', 'streaming'
+        )
         async with trio.open_nursery() as nursery:
 
             async def add_sound() -> None:
@@ -108,7 +116,7 @@
     """Guards against an upstream that is chosen again and again."""
 
     async def scenario(bench: PlatformBench) -> None:
-        entry, _ = await start_entry(bench, form, path, kind)
+        entry, _ = await start_entry(bench, FORMS[form], path, kind)
         response = await entry.call(f'/{path}/1')
         assert response.status in {503, 504}
         upstream = entry.entry.cluster_state.directory.find('e1')
@@ -119,6 +127,31 @@
     run_on_platform(scenario)
 
 
+@pytest.mark.parametrize(
+    ('event_bytes', 'chunk_bytes'),
+    [(1_000_000, 16_000), (20_000, 5), (500, 1), (100_000, 0), (20, 0)],
+)
+def test_a_sound_stream_is_relayed_however_it_is_split(
+    event_bytes: int, chunk_bytes: int
+) -> None:
+    event = b'id: 1\ndata: %s\n\n' % (event_bytes * b'a')
+    text = event + b'id: 2\ndata: b\n\n'
+
+    async def scenario(bench: PlatformBench) -> None:
+        entry, _ = await start_entry(
+            bench, whole_stream(text, chunk_bytes), 'stream', 'streaming'
+        )
+        response = await entry.call(
+            '/stream/1', 'POST', deadline_remaining_ms='8000'
+        )
+        assert response.body == text
+        upstream = entry.entry.cluster_state.directory.find('e1')
+        assert upstream is not None
+        assert upstream.health.failure_rate == 0
+
+    run_on_platform(scenario)
+
+
 async def disturb(entry: EntryProcess) -> None:
     """Call the faulty upstream again and again."""
     number = 0
@@ -130,7 +163,7 @@
 
 async def add_upstreams(fleet: PlatformFleet, nursery: trio.Nursery) -> None:
     await fleet.add_replica('p1', 'plain')
-    address, _ = await start_faulty(nursery, 'stream, chunks of 5 bytes')
+    address, _ = await start_faulty(nursery, FORMS['stream, chunks of 5 bytes'])
     fleet.write_replica_record('e1', 'engine', address=address)
 
 
