--- a/src/amaranthrail/platform/program.py
+++ b/src/amaranthrail/platform/program.py
@@ -68,11 +68,8 @@
         WIRE_FORMAT,
         partial(HttpRank, link_mbps=settings.link_mbps),
     )
-    monitor = LoopMonitor(Clock())
-    trio.run(
-        partial(_run, entry, path, writer, monitor),
-        instruments=[monitor, LoopTimes(entry.metrics, Clock())],
-    )
+    monitor = LoopTimes(entry.metrics, Clock())
+    trio.run(partial(_run, entry, path, writer, monitor), instruments=[monitor])
     # Freeing all objects takes the interpreter 0.1 s and more on a busy host;
     # the kill at the end of the grace period may come before.
     os._exit(0)
