--- a/src/amaranthrail/adapters/httpinput.py
+++ b/src/amaranthrail/adapters/httpinput.py
@@ -44,8 +44,8 @@
 class HttpInput:
     """Give a connection's bytes to its parser, a bounded part at a time.
 
-    Other tasks run between two parts where the first ones of a read were
-    costly; see ``policy.parsing``.
+    Callers alternate ``poll``, until it needs data, and ``receive``. Where a
+    read costs much work, ``poll`` waits for turns; see ``policy.parsing``.
     """
 
     def __init__(
@@ -192,7 +192,7 @@
         Raises h11.RemoteProtocolError for one that is not valid.
         """
         if self._pending[0] < _FIRST_VISIBLE:
-            # The parser refuses it.
+            # The parser refuses it at its first line.
             return len(self._pending)
         end = _BLANK_LINE.search(self._pending, self._searched_bytes)
         if end is None:
@@ -221,6 +221,7 @@
     async def _next_body_bytes(self) -> int:
         if not self._is_chunked:
             return len(self._pending)
+        # What the parser keeps of a body is the start of framing, never data.
         if len(self._parser.trailing_data[0]) > _LONG_FRAMING_BYTES:
             await self._take_turn(LONG_LINE_UNITS)
         return min(len(self._pending), _PART_BYTES)
