review: stand-ins of rank groups, kept logs and a second tenant

Cause: the cases 11, 12 and 15 need them.

Added: ranks that stall and come back together, a tenant whose keys can be taken away, and KEEP_LOGS for the output of entries.

--- a/review/standins-3/bed3.py
+++ b/review/standins-3/bed3.py
@@ -318,6 +318,113 @@
         )
 
 
+STALL_S = 1.5
+FORM_S = 0.6
+
+
+class Group:
+    """The ranks of one group: all of them stop while one is missing."""
+
+    def __init__(self):
+        self.is_open = True
+        self.changed = asyncio.Event()
+        self._missing = 0
+
+    def lose(self):
+        """A rank is gone: all stop."""
+        self._missing += 1
+        self._set_open(False)
+
+    async def find(self):
+        """A rank is back: the group opens FORM_S after the last one."""
+        self._missing -= 1
+        await asyncio.sleep(FORM_S)
+        if not self._missing and not self.is_open:
+            self._set_open(True)
+
+    def _set_open(self, is_open):
+        self.is_open = is_open
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def work(self, seconds):
+        """Work so long; return False if the group stops for STALL_S."""
+        until = time.monotonic() + seconds
+        while True:
+            if not self.is_open:
+                try:
+                    await asyncio.wait_for(self.changed.wait(), STALL_S)
+                except asyncio.TimeoutError:
+                    return False
+                until = time.monotonic() + seconds
+                continue
+            left = until - time.monotonic()
+            if left <= 0:
+                return True
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
+
+
+class Rank(Replica):
+    """A model replica that is a rank of the group."""
+
+    group = None
+    first_event_s = 0.25
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self._writers = set()
+        self.is_up = True
+
+    async def _serve(self, reader, writer):
+        self._writers.add(writer)
+        try:
+            await super()._serve(reader, writer)
+        finally:
+            self._writers.discard(writer)
+
+    async def respond(self, method, path, attempt):
+        self.running += 1
+        try:
+            is_done = await self.group.work(self.first_event_s)
+        finally:
+            self.running -= 1
+        if not is_done:
+            return message(503, Attempt_Id=attempt, Not_Executed='1')
+        events = ''.join(f'id: {n}\ndata: {n}\n\n' for n in range(1, 29))
+        return message(
+            200,
+            events.encode(),
+            Content_Type='text/event-stream',
+            Attempt_Id=attempt,
+            Replica_Signature=f'{self.name}.{attempt}',
+        )
+
+    async def crash(self, down_s):
+        """Crash, and come back under the same id after ``down_s``."""
+        if not self.is_up:
+            return
+        self.is_up = False
+        self.record.write(f'{self.name} crashes with {self.running} requests')
+        self.reaches_store = False
+        self.group.lose()
+        self._server.close()
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+        await asyncio.sleep(down_s)
+        self._server = await asyncio.start_server(
+            self._serve, self.host, self.port, limit=MAX_HEAD
+        )
+        self._born = int(time.time() * 1000)
+        self._sequence = 0
+        self.reaches_store = True
+        self.record.write(f'{self.name} is back')
+        self.is_up = True
+        await self.group.find()
+
+
 class Entry:
     """One entry, started with the command of the deploy file."""
 
@@ -463,8 +570,8 @@
             self._writer = None
 
 
-def configuration(routes, version=7, max_header_bytes=16384):
-    """Return a configuration with one tenant."""
+def configuration(routes, version=7, max_header_bytes=16384, more_keys=()):
+    """Return a configuration; ``more_keys`` are those of a second tenant."""
     services = sorted({route['service'] for route in routes})
     return json.dumps(
         {
@@ -477,7 +584,10 @@
                 'header_timeout_ms': 3000,
                 'idle_timeout_ms': 15000,
             },
-            'tenants': [{'name': 'desk', 'api_keys': [KEY]}],
+            'tenants': [
+                {'name': 'desk', 'api_keys': [KEY]},
+                {'name': 'guild', 'api_keys': list(more_keys)},
+            ],
         }
     ).encode()
 
@@ -548,6 +658,9 @@
                 entry.end()
             for task in tasks:
                 task.cancel()
+            if 'KEEP_LOGS' in os.environ:
+                for log in Path(folder).glob('*.log'):
+                    shutil.copy(log, os.environ['KEEP_LOGS'])
 
 
 def main(play):
