--- a/review/standins-3/bed3.py
+++ b/review/standins-3/bed3.py
@@ -22,6 +22,9 @@
 ROOT = Path(__file__).resolve().parents[2]
 HEARTBEAT_S = 1.2
 MAX_HEAD = 262144
+# Clients' deadline for streams, and the gap after which they give up.
+DEADLINE_S = 8.051
+GAP_S = 2.0
 HOST = 'desk.example'
 KEY = 'key-of-the-desk'
 PORTS = {'front': 8227, 'ready': 8220}
@@ -41,7 +44,7 @@
 listen.control={host}:8229
 internal_ports=7340,7355
 seed_nodes={seeds}
-bootstrap=true
+bootstrap={bootstrap}
 limits.cpu_share=0.817
 limits.memory_mb=300
 limits.max_fds=1024
@@ -153,16 +156,40 @@
                 received = await read_message(reader)
                 if received is None:
                     return
-                answer = await self.answer(*received)
-                if answer is None:
+                reply = asyncio.ensure_future(self._reply(writer, *received))
+                gone = asyncio.ensure_future(reader.read(1))
+                await asyncio.wait(
+                    {reply, gone}, return_when=asyncio.FIRST_COMPLETED
+                )
+                # The caller's close ends the work.
+                for task in (gone, reply) if reply.done() else (reply,):
+                    task.cancel()
+                    with contextlib.suppress(asyncio.CancelledError):
+                        if task is gone or not task.done():
+                            await task
+                if reply.cancelled() or not reply.result():
                     return
-                writer.write(answer)
-                await writer.drain()
         except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
 
+    async def _reply(self, writer, head, body):
+        """Send the answer; return False where the connection is to be closed."""
+        answer = await self.answer(head, body)
+        if answer is None:
+            return False
+        if isinstance(answer, bytes):
+            writer.write(answer)
+            await writer.drain()
+            return True
+        async for part in answer:
+            if part is None:
+                return False
+            writer.write(part)
+            await writer.drain()
+        return True
+
 
 class Store(Server):
     """The platform's store: the log calls that PROTOCOL.md describes."""
@@ -171,6 +198,8 @@
         super().__init__(host)
         self._topics = {}
         self._changed = asyncio.Event()
+        # While it is down, it answers nothing.
+        self.is_down = False
 
     def put(self, topic, key, value):
         self._topics.setdefault(topic, []).append((key, value))
@@ -178,6 +207,8 @@
         self._changed = asyncio.Event()
 
     async def answer(self, head, body):
+        if self.is_down:
+            await asyncio.sleep(3600)
         target, _, text = head.first[1].partition('?')
         query = dict(part.partition('=')[::2] for part in text.split('&'))
         topic = query.get('topic', '')
@@ -232,6 +263,8 @@
             name = key.encode()
             raw = bytes([len(name)]) + name + value
             body += struct.pack('>I', len(raw)) + raw
+        if self.is_down:
+            await asyncio.sleep(3600)
         return message(200, body, Store_Era='0')
 
 
@@ -320,6 +353,41 @@
 
 STALL_S = 1.5
 FORM_S = 0.6
+SETS = 4
+EXPERTS = 64
+QUEUE = 6
+EVENTS = 28
+EVENT_GAP_S = 0.04
+ENGINE = {
+    'slots': 6,
+    'kv_capacity_tokens': 186000,
+    'kv_token_bytes': 192512,
+    'link_mbps': 180000.0,
+    'stride': 5,
+    'models': [{'name': 'm'}],
+    'step_ms': 5.85,
+    'per_seq_ms': 0.71,
+    'context_per_k': 0.072,
+    'read_per_s': 61200.0,
+    'pairs_per_m': 0.325,
+    'chunk': 512,
+    'report_lag_ms': 200.0,
+    'usual': {'prompt': 835, 'answer': 139},
+    'sets': SETS,
+    'experts': EXPERTS,
+    'placements': 5,
+    'spare': 2,
+    'expert_mb': 880.0,
+    'expert_share': 0.85,
+    'form_ms': 600.0,
+}
+
+
+def step_count(group):
+    """Return the passes of a group, none while it is stopped."""
+    if group.is_open:
+        group.steps = int(time.monotonic() / EVENT_GAP_S) % 1000000
+    return getattr(group, 'steps', 0)
 
 
 class Group:
@@ -328,11 +396,15 @@
     def __init__(self):
         self.is_open = True
         self.changed = asyncio.Event()
+        self.ranks = []
+        self.epoch = 1
+        self.missing = ''
         self._missing = 0
 
-    def lose(self):
+    def lose(self, name):
         """A rank is gone: all stop."""
         self._missing += 1
+        self.missing = name
         self._set_open(False)
 
     async def find(self):
@@ -340,6 +412,7 @@
         self._missing -= 1
         await asyncio.sleep(FORM_S)
         if not self._missing and not self.is_open:
+            self.epoch += 1
             self._set_open(True)
 
     def _set_open(self, is_open):
@@ -377,6 +450,9 @@
         super().__init__(*arguments)
         self._writers = set()
         self.is_up = True
+        # Requests whose answer has not begun.
+        self.waiting = 0
+        self.group.ranks.append(self)
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
@@ -385,31 +461,115 @@
         finally:
             self._writers.discard(writer)
 
-    async def respond(self, method, path, attempt):
+    async def answer(self, head, body):
+        """Answer; requests beyond slots and queue are turned away."""
+        method, path = head.first[:2]
+        attempt = head.get('attempt-id')
+        call = path.partition('?')[0]
+        if call == '/amaranthrail/report':
+            return self._json(self._report())
+        if call == '/amaranthrail/picked':
+            counts = [step_count(self.group)] * (SETS * EXPERTS)
+            return self._json(
+                {'step': step_count(self.group), 'epoch': 1, 'counts': counts}
+            )
+        if call == '/amaranthrail/order':
+            return message(409, b'{}', Content_Type='application/json')
+        if head.get('expect-replica', self.name) != self.name:
+            return message(421, Attempt_Id=attempt, At_Server=self.name)
+        if self.running >= self.slots + QUEUE:
+            return self._refuse(attempt, self.name)
+        return self.stream(head, attempt)
+
+    async def stream(self, head, attempt):
+        """Write a stream; cut it, or refuse it, where the group stops."""
         self.running += 1
+        self.waiting += 1
         try:
-            is_done = await self.group.work(self.first_event_s)
+            try:
+                is_done = await self.group.work(self.first_event_s)
+            finally:
+                self.waiting -= 1
+            if not is_done:
+                yield self._refuse(attempt, self.group.missing)
+                return
+            if self.crashes_on(head):
+                yield None
+                return
+            first = int(head.get('last-event-id') or '0') + 1
+            lines = [
+                'HTTP/1.1 200 OK',
+                'Content-Type: text/event-stream',
+                'Transfer-Encoding: chunked',
+                f'Attempt-Id: {attempt}',
+                f'Replica-Signature: {self.name}.{attempt}',
+                'Weight-Versions: 1',
+                f'Replica-Load: {self.running},0,{self.slots}',
+            ]
+            yield '\r\n'.join(lines).encode() + b'\r\n\r\n'
+            for number in range(first, EVENTS + 1):
+                event = f'id: {number}\ndata: {number}\n\n'.encode()
+                yield f'{len(event):x}\r\n'.encode() + event + b'\r\n'
+                if not await self.group.work(EVENT_GAP_S):
+                    yield None
+                    return
+            yield b'0\r\n\r\n'
         finally:
             self.running -= 1
-        if not is_done:
-            return message(503, Attempt_Id=attempt, Not_Executed='1')
-        events = ''.join(f'id: {n}\ndata: {n}\n\n' for n in range(1, 29))
+
+    def crashes_on(self, head):
+        """Tell whether the replica crashes as it begins to answer."""
+        return False
+
+    def _refuse(self, attempt, at_fault):
         return message(
-            200,
-            events.encode(),
-            Content_Type='text/event-stream',
+            503,
             Attempt_Id=attempt,
-            Replica_Signature=f'{self.name}.{attempt}',
+            Not_Executed='1',
+            At_Server=at_fault,
+            Replica_Load=f'{self.running},0,{self.slots}',
         )
 
+    def _json(self, content):
+        return message(
+            200, json.dumps(content).encode(), Content_Type='application/json'
+        )
+
+    def _report(self):
+        return {
+            'stage': 'both',
+            'models': [{'name': 'm', 'version': 1, 'adapters': []}],
+            'busy': False,
+            'sequence': 0,
+            'queued': 0,
+            'in_flight': self.running,
+            'kv_used': 800 * self.running,
+            'kv_total': 186000,
+            'handles': 0,
+            'pace': 1.0,
+            'born': self._born,
+            'group': {
+                'name': 'g0',
+                'epoch': self.group.epoch,
+                'rank': self.group.ranks.index(self),
+                'state': 'open' if self.group.is_open else 'broken',
+            },
+            'size': len(self.group.ranks),
+            'step': step_count(self.group),
+            'map': 0,
+        }
+
     async def crash(self, down_s):
         """Crash, and come back under the same id after ``down_s``."""
         if not self.is_up:
             return
         self.is_up = False
-        self.record.write(f'{self.name} crashes with {self.running} requests')
+        self.record.write(
+            f'{self.name} crashes with {self.running} requests, '
+            f'{self.waiting} of them without an answer'
+        )
         self.reaches_store = False
-        self.group.lose()
+        self.group.lose(self.name)
         self._server.close()
         for writer in tuple(self._writers):
             writer.transport.abort()
@@ -434,13 +594,14 @@
         self._folder = folder
         self.process = None
 
-    def start(self, store, seeds):
+    def start(self, store, seeds, bootstrap='true'):
         settings = self._folder / f'{self.name}.conf'
         settings.write_text(
             SETTINGS.format(
                 name=self.name,
                 host=self.host,
                 store=store,
+                bootstrap=bootstrap,
                 seeds=','.join(f'{seed}:8229' for seed in seeds),
             )
         )
@@ -537,6 +698,84 @@
     return status, got
 
 
+async def stream(record, entry, path, attempt, deadline_ms, **fields):
+    """Send a client attempt for a stream; give up after a gap of GAP_S.
+
+    Return the status, the fields, whether an event came and whether the stream
+    was complete. The status is 0 where no head came.
+    """
+    record.write(f'client sends {attempt} POST {path} to {entry.name}')
+    status, got, data, is_complete = 0, {}, b'', False
+    writer = None
+    try:
+        reader, writer = await asyncio.wait_for(
+            asyncio.open_connection(entry.host, PORTS['front']), 1
+        )
+        lines = [
+            f'POST {path} HTTP/1.1',
+            f'Host: {HOST}',
+            'Content-Length: 0',
+            f'Attempt-Id: {attempt}',
+            f'Authorization: Token {KEY}',
+            f'Deadline-Remaining-Ms: {deadline_ms}',
+        ]
+        lines += [f'{name.replace("_", "-")}: {text}' for name, text in fields.items()]
+        writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n')
+        raw = await asyncio.wait_for(reader.readuntil(b'\r\n\r\n'), GAP_S)
+        first, *rest = raw.decode('latin-1').split('\r\n')
+        status = int(first.split(' ')[1])
+        for line in rest:
+            name, _, text = line.partition(':')
+            got[name.strip().lower()] = text.strip()
+        if 'chunked' in got.get('transfer-encoding', '').lower():
+            size = 1
+            while size:
+                line = await asyncio.wait_for(reader.readline(), GAP_S)
+                size = int(line, 16)
+                data += (await asyncio.wait_for(reader.readexactly(size + 2), GAP_S))[:-2]
+        else:
+            size = int(got.get('content-length', '0'))
+            data = await asyncio.wait_for(reader.readexactly(size), GAP_S)
+        is_complete = True
+    except (OSError, ValueError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+        pass
+    finally:
+        if writer is not None:
+            writer.close()
+    has_begun = status == 200 and b'\n\n' in data
+    is_complete = status == 200 and is_complete
+    record.write(
+        f'client gets {attempt} {status}, {data.count(bytes(2 * [10]))} events'
+        f'{", complete" if is_complete else ""}'
+    )
+    return status, got, has_begun, is_complete
+
+
+async def ask_stream(record, entries, path, **fields):
+    """Ask for a stream, once more at another entry; return both results."""
+    first = random.randrange(len(entries))
+    until = time.monotonic() + DEADLINE_S
+    results = []
+    for number in range(2):
+        left = until - time.monotonic()
+        results.append(
+            await stream(
+                record,
+                entries[(first + number) % len(entries)],
+                path,
+                new_attempt(),
+                int(left * 1000),
+                **fields,
+            )
+        )
+        status, got, _, is_complete = results[-1]
+        if is_complete or 400 <= status < 429 and status not in (408, 421):
+            break
+        pause = float(got.get('retry-after', '0.1'))
+        await asyncio.sleep(min(pause, (until - time.monotonic()) / 3))
+    return results
+
+
 class KeptConnection:
     """A client's connection that is kept for many requests."""
 
@@ -545,12 +784,24 @@
         self._reader = None
         self._writer = None
 
-    async def call(self, method, path, **fields):
-        """Send a request; status 0 is a connection closed without an answer."""
-        if self._writer is None:
+    @property
+    def is_open(self):
+        return self._writer is not None
+
+    async def open(self):
+        """Open the connection; return False where nothing listens."""
+        try:
             self._reader, self._writer = await asyncio.open_connection(
                 self.entry.host, PORTS['front']
             )
+        except OSError:
+            return False
+        return True
+
+    async def call(self, method, path, **fields):
+        """Send a request; status 0 is a connection closed without an answer."""
+        if self._writer is None and not await self.open():
+            return 0, {}
         lines = [f'{method} {path} HTTP/1.1', f'Host: {HOST}', 'Content-Length: 0']
         lines += [f'{name.replace("_", "-")}: {text}' for name, text in fields.items()]
         self._writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n')
@@ -577,7 +828,12 @@
         {
             'version': version,
             'routes': routes,
-            'services': [{'name': name} for name in services],
+            'services': [
+                {'name': name, 'health_path': '/health', 'engine': ENGINE}
+                if name == 'redattore'
+                else {'name': name, 'health_path': '/health'}
+                for name in services
+            ],
             'limits': {
                 'max_header_bytes': max_header_bytes,
                 'max_body_bytes': 1048576,
